Draw each test call's fate by workspace, so that fairness is measured on the same calls

Cause of the known-red TestMeasureFairness: all draws came from one source in the order in which goroutines of one instant ran, so that each run was another seed, and the run alone and the crowded run met different calls.

--- a/internal/picker/rig_test.go
+++ b/internal/picker/rig_test.go
@@ -48,7 +48,8 @@
 // rig is a fleet of one service in virtual time.
 type rig struct {
 	mu      sync.Mutex
-	rand    *rand.Rand
+	seed    uint64
+	rand    *rand.Rand // the pickers', in the order of their calls
 	peers   *rand.Rand // the detector's, so that its order changes no other draw
 	ctx     context.Context
 	start   time.Time
@@ -65,7 +66,7 @@
 }
 
 func newRig(ctx context.Context, seed uint64, targets, slots int, floor float64) *rig {
-	r := &rig{rand: rand.New(rand.NewPCG(seed, 1)), peers: rand.New(rand.NewPCG(seed, 2)), ctx: ctx, start: time.Now(), told: map[string]messenger.Target{}}
+	r := &rig{seed: seed, rand: rand.New(rand.NewPCG(seed, 1)), peers: rand.New(rand.NewPCG(seed, 2)), ctx: ctx, start: time.Now(), told: map[string]messenger.Target{}}
 	r.silent = func(int, *node) bool { return false }
 	r.index = indexer.New(1, declarer.Fleet{}.WithCentre(declarer.Centre{Name: "a"}).
 		WithService(declarer.Service{Name: "s", Slots: slots, Cold: 2, Floor: floor}))
@@ -87,8 +88,6 @@
 
 func (r *rig) peer(n int) int { r.mu.Lock(); defer r.mu.Unlock(); return r.peers.IntN(n) }
 
-func (r *rig) intn(n int) int { r.mu.Lock(); defer r.mu.Unlock(); return r.rand.IntN(n) }
-
 func (r *rig) targets(string) []messenger.Target {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -122,6 +121,20 @@
 	weight   int
 	deadline time.Duration // 0 is 2 s
 	from, to time.Duration
+	// chance is what one of its calls meets.
+	chance chance
+}
+
+// chance is drawn for each call when it is made, by workspace, so that the same
+// calls meet the same in runs that differ in other workspaces.
+type chance struct {
+	entry int     // where the call comes in
+	slow  float64 // its service time, times the usual
+	dice  float64 // below the target's share of failures it fails
+}
+
+func (r *rig) chance(own *rand.Rand) chance {
+	return chance{own.IntN(len(r.entries)), math.Exp(0.5 * own.NormFloat64()), own.Float64()}
 }
 
 // score is what a workspace got.
@@ -144,10 +157,13 @@
 		s := &score{}
 		scores[w.name] = s
 		wg.Go(func() {
-			time.Sleep(w.from + time.Duration(i)*time.Microsecond) // so that draws have one order
+			own := rand.New(rand.NewPCG(r.seed, uint64(i)))
+			time.Sleep(w.from)
 			for time.Since(r.start) < w.to {
-				time.Sleep(time.Duration(-math.Log(1-r.float()) / w.rate * float64(time.Second)))
-				wg.Go(func() { r.request(w, s) })
+				time.Sleep(time.Duration(own.ExpFloat64() / w.rate * float64(time.Second)))
+				call := w
+				call.chance = r.chance(own)
+				wg.Go(func() { r.request(call, s) })
 			}
 		})
 	}
@@ -179,7 +195,7 @@
 }
 
 func (r *rig) attempt(ctx context.Context, w work) error {
-	i := r.intn(len(r.entries))
+	i := w.chance.entry
 	if r.blind {
 		r.mu.Lock()
 		r.turn++
@@ -240,11 +256,7 @@
 		n.over++
 		return detector.Shed
 	}
-	took := base.Seconds() * max(w.times, 1) * max(f.slow, 1) * load
-	r.mu.Lock()
-	took *= math.Exp(0.5 * r.rand.NormFloat64())
-	dice := r.rand.Float64()
-	r.mu.Unlock()
+	took := base.Seconds() * max(w.times, 1) * max(f.slow, 1) * load * w.chance.slow
 	wait := time.NewTimer(time.Duration(took * float64(time.Second)))
 	if f.hang {
 		wait.Stop()
@@ -254,10 +266,10 @@
 	case <-ctx.Done():
 		return detector.Timeout
 	}
-	if dice < f.fail {
+	if w.chance.dice < f.fail {
 		return detector.Failed
 	}
-	if dice < f.fail+f.cut {
+	if w.chance.dice < f.fail+f.cut {
 		return detector.Cut
 	}
 	return detector.Good
