--- a/internal/commander/node.go
+++ b/internal/commander/node.go
@@ -98,7 +98,7 @@
 	set.IntVar(&s.Beat, "beat", 0, "milliseconds between two announcements of a target")
 	set.IntVar(&s.Notice, "notice", 0, "milliseconds for which what leaves still takes new work (default 2000)")
 	set.IntVar(&s.Linger, "linger", 0, "milliseconds for which a stopping node takes connections (default the notice)")
-	set.IntVar(&s.Grace, "grace", 0, "milliseconds that a stop may take (default 30000)")
+	set.Float64Var(&s.Grace, "grace", 0, "seconds after which a process that was told to stop is killed (default 30)")
 	set.Float64Var(&s.Ratio, "ratio", 0, "extra attempts that each request pays for")
 	set.IntVar(&s.Slack, "slack", 0, "extra attempts of a service over the fleet besides")
 	set.IntVar(&s.Excess, "excess", 0, "requests beyond its terms that a workspace may send with shared rates")
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -110,8 +110,11 @@
 func (n *Node) leave(callers *entrance, others []*front) error {
 	ctx := context.Background()
 	s := n.Platform.settings(n.Settings)
-	begun, grace := time.Now(), orMillis(s.Grace, stopTimeout)
-	left := func() time.Duration { return max(grace-time.Since(n.told(begun)), time.Millisecond) }
+	begun, killed := time.Now(), time.Duration(s.Grace*float64(time.Second))
+	if killed == 0 {
+		killed = stopTimeout
+	}
+	left := func() time.Duration { return max(killed-exitTime-time.Since(n.told(begun)), time.Millisecond) }
 	n.Drainer.Begin(ctx)
 	handed := n.handOver(ctx)
 	time.Sleep(orMillis(s.Linger, 0) - time.Since(begun))
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -41,7 +41,12 @@
 	headTimeout  = 10 * time.Second
 	idleTimeout  = 2 * time.Minute
 	maxHeadBytes = 64 << 10
-	stopTimeout  = 30 * time.Second
+	// stopTimeout is when a process that was told to stop is taken to be killed,
+	// where no setting tells: what process managers commonly allow.
+	stopTimeout = 30 * time.Second
+	// exitTime is kept of it for the last answers to leave and the process to
+	// end, on a VM that may have a small part of a core.
+	exitTime = 250 * time.Millisecond
 	// lingerTimeout is how long a stopping node leaves idle connections open.
 	lingerTimeout = 5 * time.Second
 	// lingerPart divides what is left of the time to stop: the rest is for the
--- a/internal/settler/check.go
+++ b/internal/settler/check.go
@@ -30,6 +30,8 @@
 	RatesShared     = "shared"
 
 	maxTime   = 3_600_000 // milliseconds
+	minGrace  = 1         // seconds; less is too short for peers to notice
+	maxGrace  = 3600      // seconds
 	maxExtra  = 1_000_000 // attempts or requests
 	minSecret = 16        // bytes
 	maxSecret = 256
@@ -51,6 +53,7 @@
 	ruleRates  = "must be strict or shared"
 	rulePlace  = "must be NAME=REGION"
 	ruleTime   = "must be 0 to 3600000 milliseconds"
+	ruleGrace  = "must be 1 to 3600 seconds"
 	ruleShare  = "must be 0 to 1"
 	ruleExtra  = "must be 0 to 1000000"
 )
@@ -118,9 +121,10 @@
 	for _, t := range []struct {
 		path  string
 		value int
-	}{{"beat", s.Beat}, {"notice", s.Notice}, {"linger", s.Linger}, {"grace", s.Grace}} {
+	}{{"beat", s.Beat}, {"notice", s.Notice}, {"linger", s.Linger}} {
 		c.require(t.value >= 0 && t.value <= maxTime, t.path, strconv.Itoa(t.value), ruleTime)
 	}
+	c.require(s.Grace == 0 || s.Grace >= minGrace && s.Grace <= maxGrace, "grace", fmt.Sprint(s.Grace), ruleGrace)
 	c.require(s.Floor >= 0 && s.Floor <= 1, "floor", fmt.Sprint(s.Floor), ruleShare)
 	c.require(s.Ratio >= 0 && s.Ratio <= 1, "ratio", fmt.Sprint(s.Ratio), ruleShare)
 	c.require(s.Slack >= 0 && s.Slack <= maxExtra, "slack", strconv.Itoa(s.Slack), ruleExtra)
--- a/internal/settler/live.go
+++ b/internal/settler/live.go
@@ -65,6 +65,7 @@
 			return
 		case <-stop:
 			l.Stop()
+			l.note("told-to-stop", "")
 			continue
 		case <-reload:
 			told = true
--- a/internal/settler/settings.go
+++ b/internal/settler/settings.go
@@ -51,12 +51,14 @@
 	Floor float64 `json:"floor"`
 	// Beat is how often a target announces itself, in milliseconds.
 	Beat int `json:"beat"`
-	// Notice is how long what leaves still takes new work, Linger how long a
-	// stopping node still takes connections, and Grace how long its stop may
-	// take, all in milliseconds. 0 means the defaults.
+	// Notice is how long what leaves still takes new work, and Linger how long a
+	// stopping node still takes connections, both in milliseconds. 0 means the
+	// defaults.
 	Notice int `json:"notice"`
 	Linger int `json:"linger"`
-	Grace  int `json:"grace"`
+	// Grace is after how many seconds a process that was told to stop is
+	// killed. 0 means the default.
+	Grace float64 `json:"grace"`
 	// Ratio is how many extra attempts each request pays for over the whole
 	// fleet, and Slack how many a service may have besides. 0 means the
 	// defaults.
