Histograms of attempts, links, queues and targets; store calls and retry budgets counted

An answer's head tells how long the call was at its exit, so that the entry knows the time on the link.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -193,6 +193,17 @@
 	return dispatcher.Load{Queue: l.Queue, Flying: l.Flying, Limit: l.Limit}
 }
 
+// Loads returns how busy all targets are together.
+func (a *Admitter) Loads() (sum dispatcher.Load) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, s := range a.slots {
+		l := s.queue.State()
+		sum.Queue, sum.Flying, sum.Limit = sum.Queue+l.Queue, sum.Flying+l.Flying, sum.Limit+l.Limit
+	}
+	return sum
+}
+
 // Risk returns the probability that a target hangs just now, 0 without a gater.
 func (a *Admitter) Risk(target string) float64 {
 	if a.Gater == nil {
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -69,6 +69,8 @@
 	Target messenger.Target
 	// Deadline is when the caller stops waiting, by this node's clock.
 	Deadline time.Time
+	// Arrived is when the call came to this node.
+	Arrived time.Time
 	// Check is asked right before the first byte goes to the target, and
 	// refuses when the deadline has passed meanwhile.
 	Check func() error
@@ -102,6 +104,10 @@
 	Load func(target string) Load
 	// Send passes the call to the target.
 	Send func(ctx context.Context, j *Job) error
+	// Waited takes how long a call waited for its slot, and Ended how it ended
+	// at the target. Nil drops them.
+	Waited func(d time.Duration)
+	Ended  func(o Outcome)
 	// Tracer takes events; nil drops them.
 	Tracer *tracer.Tracer
 }
@@ -113,6 +119,7 @@
 
 // Serve runs one call. An error is a refusal and comes only before the head.
 func (d *Dispatcher) Serve(ctx context.Context, j *Job) error {
+	j.Arrived = time.Now()
 	return Chain(d.Filters())(ctx, j)
 }
 
@@ -159,11 +166,15 @@
 // slot waits for the target's turn and re-checks what may have changed while
 // the call waited.
 func (d *Dispatcher) slot(ctx context.Context, j *Job, next Step) error {
+	begun := time.Now()
 	release, err := d.Acquire(ctx, j)
+	start := time.Now()
+	if d.Waited != nil {
+		d.Waited(start.Sub(begun))
+	}
 	if err != nil {
 		return err
 	}
-	start := time.Now()
 	defer func() {
 		j.Outcome.Service = time.Since(start)
 		release(j.Outcome)
@@ -186,5 +197,8 @@
 	e.Kind, e.Detail, e.Took = "call-ended", j.Outcome.Result.String(), tracer.Millis(time.Since(start))
 	e.Routine = j.Outcome.Result == Good
 	d.Tracer.Add(e)
+	if d.Ended != nil {
+		d.Ended(j.Outcome)
+	}
 	return err
 }
--- a/internal/dispatcher/sender.go
+++ b/internal/dispatcher/sender.go
@@ -188,7 +188,7 @@
 	load := s.Load(j.Target.Name)
 	head := messenger.Head{
 		Status: res.StatusCode, Header: s.Dialect.Fields(res.Header), Length: res.ContentLength,
-		Queue: load.Queue, Flying: load.Flying, Limit: load.Limit,
+		Queue: load.Queue, Flying: load.Flying, Limit: load.Limit, Spent: time.Since(j.Arrived),
 	}
 	return s.body(ctx, j, res, head)
 }
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -84,6 +84,9 @@
 	Open func(ctx context.Context, o linker.Opening) (*linker.Stream, error)
 	// Local runs a call on this node.
 	Local *dispatcher.Local
+	// Answered takes how long an attempt took that got an answer, how much of
+	// that was spent at the exit, and whether that is another node. Nil drops it.
+	Answered func(took, spent time.Duration, link bool)
 	// Tracer takes events; nil drops them.
 	Tracer *tracer.Tracer
 }
@@ -110,6 +113,9 @@
 	if a != nil {
 		o.Status, o.Known = a.Head.Status, true
 		o.Load = dispatcher.Load{Queue: a.Head.Queue, Flying: a.Head.Flying, Limit: a.Head.Limit}
+		if f.Answered != nil {
+			f.Answered(o.Latency, a.Head.Spent, t.Node != f.Node)
+		}
 	}
 	done(o)
 	f.trace(&c, t, o)
--- a/internal/logger/logger.go
+++ b/internal/logger/logger.go
@@ -11,6 +11,7 @@
 	"io"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -36,8 +37,10 @@
 	lines   [][]byte
 	waiting int
 	dropped uint64
-	once    sync.Once
-	wake    chan struct{}
+	// lost counts all dropped lines since the start.
+	lost atomic.Int64
+	once sync.Once
+	wake chan struct{}
 	// idle is closed and replaced each time that nothing waits any more.
 	idle chan struct{}
 	busy bool
@@ -80,6 +83,7 @@
 	defer l.mu.Unlock()
 	if float64(l.waiting+len(line)) > part*float64(bound) {
 		l.dropped++
+		l.lost.Add(1)
 		return
 	}
 	l.lines = append(l.lines, line)
@@ -90,6 +94,9 @@
 	}
 }
 
+// Dropped returns how many lines were dropped since the start.
+func (l *Logger) Dropped() int64 { return l.lost.Load() }
+
 func (l *Logger) start() {
 	l.wake = make(chan struct{}, 1)
 	l.idle = make(chan struct{})
--- /dev/null
+++ b/internal/measurer/table.go
@@ -0,0 +1,70 @@
+package measurer
+
+import "strings"
+
+// Row describes a metric, or a family of them.
+type Row struct {
+	// Name has a word in capitals where members of a family differ.
+	Name string
+	// Unit is what a value counts.
+	Unit string
+	// Meaning says what it tells.
+	Meaning string
+}
+
+// Table has all metrics of a node.
+var Table = []Row{
+	{"request.code.CODE", "requests", "ended at this entry with that code"},
+	{"request.took", "microseconds", "whole time of a request at its entry"},
+	{"attempt.took", "microseconds", "one attempt, from its entry to the head of the answer and what came with it"},
+	{"link.took", "microseconds", "the part of an attempt that was not spent at its exit, when that is another node"},
+	{"queue.took", "microseconds", "a call's wait for a slot of a target of this node, refused ones included"},
+	{"target.took", "microseconds", "from the first byte to a target of this node to the head of its answer"},
+	{"target.result.RESULT", "calls", "ended that way at targets of this node"},
+	{"queue.waiting", "calls", "wait for a slot of a target of this node now"},
+	{"queue.flying", "calls", "run at targets of this node now"},
+	{"targets.known", "targets", "this node knows now"},
+	{"targets.sound", "targets", "of these are chosen freely; the others are ejected or recovering"},
+	{"nodes.alive", "nodes", "this node takes to be running now"},
+	{"configuration.number", "number", "of the configuration in force"},
+	{"retry.sent", "attempts", "beyond the first of a request"},
+	{"retry.hedges", "attempts", "of these began while another one ran"},
+	{"retry.denied", "attempts", "that the budget did not pay for"},
+	{"retry.redirects", "attempts", "sent elsewhere by an exit that had not run the call"},
+	{"retry.left", "attempts", "that the budgets of all services would pay for now"},
+	{"store.KIND.OUTCOME", "calls", "to the platform's store"},
+	{"store.took", "microseconds", "one call to the store, without those that wait for a change"},
+	{"link.sent.METHOD", "bytes", "to other nodes, by what they carry"},
+	{"link.received.METHOD", "bytes", "from other nodes, by what they carry"},
+	{"prober.sent", "bytes", "of heartbeats to other nodes"},
+	{"prober.received", "bytes", "of heartbeats from other nodes"},
+	{"prober.rejected", "datagrams", "that were not by a node of the fleet"},
+	{"prober.suspicions", "count", "of nodes that did not answer"},
+	{"log.dropped", "lines", "for which the buffer had no room"},
+	{"process.memory", "bytes", "that the process has from the operating system"},
+}
+
+// Of returns the row of a metric.
+func Of(name string) (Row, bool) {
+	for _, r := range Table {
+		if matches(r.Name, name) {
+			return r, true
+		}
+	}
+	return Row{}, false
+}
+
+// matches compares a name with that of a row, word by word. A family's last word
+// may stand for several.
+func matches(row, name string) bool {
+	want, got := strings.Split(row, "."), strings.Split(name, ".")
+	if len(got) < len(want) {
+		return false
+	}
+	for i, w := range want {
+		if w != got[i] && w != strings.ToUpper(w) {
+			return false
+		}
+	}
+	return len(got) == len(want) || want[len(want)-1] == strings.ToUpper(want[len(want)-1])
+}
--- a/internal/messenger/call.go
+++ b/internal/messenger/call.go
@@ -79,6 +79,8 @@
 	// Queue is how many calls wait for the target, Flying how many it runs,
 	// and Limit how many it may run at once.
 	Queue, Flying, Limit int
+	// Spent is how long the call had been at its exit when the answer began.
+	Spent time.Duration
 	// Body is the first piece of the body; the link's marks tell whether it is
 	// the last.
 	Body []byte
--- a/internal/node/bind.go
+++ b/internal/node/bind.go
@@ -15,7 +15,7 @@
 func bind(p parts) *Node {
 	bindState(p)
 	bindLimits(p)
-	countTraffic(p.Linker, p.Metrics)
+	measure(p)
 	p.Linker.Handle(linker.MethodCall, forwarder.Serve(p.Dispatcher))
 	linker.HandleMessage(p.Linker, linker.MethodFence, fence(p.Deduper))
 	linker.HandleMessage(p.Linker, linker.MethodRecord, p.Records.Handle)
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -17,6 +17,8 @@
 
 	"github.com/zinniaproxy/zinniaproxy/internal/configurer"
 	"github.com/zinniaproxy/zinniaproxy/internal/faker"
+	"github.com/zinniaproxy/zinniaproxy/internal/logger"
+	"github.com/zinniaproxy/zinniaproxy/internal/measurer"
 	"github.com/zinniaproxy/zinniaproxy/internal/prober"
 	"github.com/zinniaproxy/zinniaproxy/internal/settler"
 	"github.com/zinniaproxy/zinniaproxy/internal/tracer"
@@ -48,6 +50,9 @@
 	stops    []func()
 	// repeat is the idempotency key of the next calls, or empty.
 	repeat string
+	// out takes the log lines of the nodes that start from then on. Nil drops
+	// them.
+	out *logger.Logger
 }
 
 type runningNode struct {
@@ -96,9 +101,14 @@
 	for _, n := range f.names {
 		s.Seeds = append(s.Seeds, n+"="+n+":81")
 	}
-	n := New(s, Platform{
-		Listen: f.network.Listen, Packets: f.packets, Dial: f.network.Dialer(name), Store: f.store.Client(), Log: logr.Discard(),
-	})
+	p := Platform{
+		Listen: f.network.Listen, Packets: f.packets, Dial: f.network.Dialer(name), Log: logr.Discard(), Measurer: measurer.New(),
+	}
+	p.Store = p.Measurer.Store(f.store.Client())
+	if f.out != nil {
+		p.Log, p.Events, p.Dropped = f.out.Logr("debug"), events(s, f.out), f.out.Dropped
+	}
+	n := New(s, p)
 	ctx, cancel := context.WithCancel(f.t.Context())
 	// Several may wait for the end: by channel, since time in a bubble does
 	// not pass while one waits for a lock.
--- /dev/null
+++ b/internal/node/measure.go
@@ -0,0 +1,80 @@
+package node
+
+import (
+	"runtime/metrics"
+
+	"github.com/zinniaproxy/zinniaproxy/internal/configurer"
+	"github.com/zinniaproxy/zinniaproxy/internal/linker"
+	"github.com/zinniaproxy/zinniaproxy/internal/measurer"
+	"github.com/zinniaproxy/zinniaproxy/internal/messenger"
+	"github.com/zinniaproxy/zinniaproxy/internal/prober"
+	"github.com/zinniaproxy/zinniaproxy/internal/spreader"
+)
+
+func newMeasurer(p Platform) *measurer.Measurer {
+	if p.Measurer != nil {
+		return p.Measurer
+	}
+	return measurer.New()
+}
+
+// measure registers what the parts know of themselves.
+func measure(p parts) {
+	m := p.Measurer
+	measureLinks(m, p.Linker, p.Prober)
+	measureTargets(m, p.Spreader)
+	m.Gauge("queue.waiting", func() int64 { return int64(p.Admitter.Loads().Queue) })
+	m.Gauge("queue.flying", func() int64 { return int64(p.Admitter.Loads().Flying) })
+	m.Gauge("nodes.alive", func() int64 { return int64(len(p.Prober.Alive())) })
+	m.Gauge("configuration.number", func() int64 { return number(p.Configurer) })
+	m.Gauge("retry.sent", func() int64 { c := p.Retrier.Counts(); return c.Attempts - c.Requests })
+	m.Gauge("retry.hedges", func() int64 { return p.Retrier.Counts().Hedges })
+	m.Gauge("retry.denied", func() int64 { return p.Retrier.Counts().Denied })
+	m.Gauge("retry.redirects", func() int64 { return p.Retrier.Counts().Redirects })
+	m.Gauge("retry.left", func() int64 { return int64(p.Retrier.Left()) })
+	m.Gauge("process.memory", memory)
+	if p.Platform.Dropped != nil {
+		m.Gauge("log.dropped", p.Platform.Dropped)
+	}
+}
+
+func number(w *configurer.Configurer) int64 {
+	if x := w.Index(); x != nil {
+		return int64(x.Number)
+	}
+	return 0
+}
+
+// measureLinks registers what goes between nodes.
+func measureLinks(m *measurer.Measurer, l *linker.Linker, p *prober.Prober) {
+	for method, name := range linker.Methods() {
+		m.Gauge("link.sent."+name, func() int64 { sent, _ := l.Traffic(method); return sent })
+		m.Gauge("link.received."+name, func() int64 { _, received := l.Traffic(method); return received })
+	}
+	m.Gauge("prober.sent", func() int64 { return int64(p.Counts().SentBytes) })
+	m.Gauge("prober.received", func() int64 { return int64(p.Counts().ReceivedBytes) })
+	m.Gauge("prober.rejected", func() int64 { return int64(p.Counts().Rejected) })
+	m.Gauge("prober.suspicions", func() int64 { return int64(p.Counts().Suspicions) })
+}
+
+func measureTargets(m *measurer.Measurer, s *spreader.Spreader) {
+	m.Gauge("targets.known", func() int64 { return int64(len(s.Targets(""))) })
+	m.Gauge("targets.sound", func() int64 {
+		sound := int64(0)
+		for _, t := range s.Targets("") {
+			if t.Trust == messenger.Sound {
+				sound++
+			}
+		}
+		return sound
+	})
+}
+
+// memorySample is all memory that the runtime has from the operating system.
+const memorySample = "/memory/classes/total:bytes"
+
+func memory() int64 {
+	sample := []metrics.Sample{{Name: memorySample}}
+	metrics.Read(sample)
+	return int64(sample[0].Value.Uint64())
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -10,7 +10,8 @@
 	"time"
 
 	"github.com/go-logr/logr"
-	"github.com/rcrowley/go-metrics"
+
+	"github.com/zinniaproxy/zinniaproxy/internal/measurer"
 
 	"github.com/zinniaproxy/zinniaproxy/internal/admitter"
 	"github.com/zinniaproxy/zinniaproxy/internal/authenticator"
@@ -73,6 +74,10 @@
 	Store *storer.Store
 	// Log takes the node's log.
 	Log logr.Logger
+	// Measurer takes the node's metrics. Nil means a new one.
+	Measurer *measurer.Measurer
+	// Dropped counts the lines that the log dropped. Nil means none.
+	Dropped func() int64
 	// Events takes each event of the node, for its log. It must not block. Nil
 	// drops them.
 	Events func(tracer.Event)
@@ -119,7 +124,7 @@
 	Settings      settler.Settings
 	Platform      Platform
 	Tracer        *tracer.Tracer
-	Metrics       metrics.Registry
+	Measurer      *measurer.Measurer
 	Linker        *linker.Linker
 	Registrar     *registrar.Registrar
 	Sender        *dispatcher.Sender
--- a/internal/node/process.go
+++ b/internal/node/process.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/zinniaproxy/zinniaproxy/internal/logger"
+	"github.com/zinniaproxy/zinniaproxy/internal/measurer"
 	"github.com/zinniaproxy/zinniaproxy/internal/prober"
 	"github.com/zinniaproxy/zinniaproxy/internal/settler"
 	"github.com/zinniaproxy/zinniaproxy/internal/storer"
@@ -20,13 +21,15 @@
 // and the store of the settings.
 func NewPlatform(s settler.Settings, out *logger.Logger) Platform {
 	dialer := &net.Dialer{Timeout: dialTimeout}
+	m := measurer.New()
 	return Platform{
+		Measurer: m, Dropped: out.Dropped,
 		Listen: func(address string) (net.Listener, error) { return net.Listen("tcp", address) },
 		Dial: func(ctx context.Context, address string) (net.Conn, error) {
 			return dialer.DialContext(ctx, "tcp", address)
 		},
 		Packets: prober.Listen,
-		Store:   storer.Dial(s.Store, &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext}}),
+		Store:   m.Store(storer.Dial(s.Store, &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext}})),
 		Log:     out.Logr(s.Level).WithValues("node", s.Name, "centre", s.Centre),
 		Events:  events(s, out),
 	}
--- a/internal/node/provide.go
+++ b/internal/node/provide.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/rcrowley/go-metrics"
+	"github.com/zinniaproxy/zinniaproxy/internal/measurer"
 
 	"github.com/zinniaproxy/zinniaproxy/internal/admitter"
 	"github.com/zinniaproxy/zinniaproxy/internal/authenticator"
@@ -25,7 +25,6 @@
 	"github.com/zinniaproxy/zinniaproxy/internal/settler"
 	"github.com/zinniaproxy/zinniaproxy/internal/spreader"
 	"github.com/zinniaproxy/zinniaproxy/internal/tracer"
-	"github.com/zinniaproxy/zinniaproxy/pkg/coder"
 	"github.com/zinniaproxy/zinniaproxy/pkg/declarer"
 )
 
@@ -38,22 +37,6 @@
 	return &tracer.Tracer{Node: s.Name, Centre: s.Centre, Size: eventRingSize, Log: p.Events}
 }
 
-func newMetrics() metrics.Registry { return metrics.NewRegistry() }
-
-// countTraffic puts the links' bytes into the metrics.
-func countTraffic(l *linker.Linker, m metrics.Registry) {
-	for method, name := range linker.Methods() {
-		metrics.NewRegisteredFunctionalGauge("link.sent."+name, m, func() int64 {
-			sent, _ := l.Traffic(method)
-			return sent
-		})
-		metrics.NewRegisteredFunctionalGauge("link.received."+name, m, func() int64 {
-			_, received := l.Traffic(method)
-			return received
-		})
-	}
-}
-
 func newLinker(s settler.Settings, e Epoch, p Platform, r *Roster, t *tracer.Tracer) *linker.Linker {
 	return &linker.Linker{
 		Node: s.Name, Epoch: uint64(e), Secret: []byte(s.Secret),
@@ -85,10 +68,12 @@
 	return nil
 }
 
-func newDispatcher(r *registrar.Registrar, a *admitter.Admitter, d *dispatcher.Sender, u *deduper.Deduper, dr *drainer.Drainer, t *tracer.Tracer) *dispatcher.Dispatcher {
+func newDispatcher(r *registrar.Registrar, a *admitter.Admitter, d *dispatcher.Sender, u *deduper.Deduper, dr *drainer.Drainer, m *measurer.Measurer, t *tracer.Tracer) *dispatcher.Dispatcher {
 	return &dispatcher.Dispatcher{
 		Lookup: r.Lookup, Enter: dr.Enter,
 		Begin: begin(u), Acquire: a.Acquire, Load: a.Load, Send: d.Send, Tracer: t,
+		Waited: m.Queue,
+		Ended:  func(o dispatcher.Outcome) { m.Target(o.Result.String(), o.Latency) },
 	}
 }
 
@@ -102,17 +87,18 @@
 	return c.Out
 }
 
-func newForwarder(s settler.Settings, p *picker.Picker, l *linker.Linker, d *dispatcher.Dispatcher, b *bidder.Bidder, t *tracer.Tracer) *forwarder.Forwarder {
+func newForwarder(s settler.Settings, p *picker.Picker, l *linker.Linker, d *dispatcher.Dispatcher, b *bidder.Bidder, m *measurer.Measurer, t *tracer.Tracer) *forwarder.Forwarder {
 	choose := pick(p)
 	if s.ServesOn() {
 		choose = bid(p, b)
 	}
 	return &forwarder.Forwarder{
 		Node: s.Name, Open: l.Open, Local: &dispatcher.Local{Serve: d.Serve}, Pick: choose, Tracer: t,
+		Answered: m.Attempt,
 	}
 }
 
-func newReceiver(s settler.Settings, e Epoch, p Platform, ra *rationer.Rationer, w *configurer.Configurer, a *authenticator.Authenticator, li *limiter.Limiter, pr *prober.Prober, q *requester.Requester, dr *drainer.Drainer, m metrics.Registry, t *tracer.Tracer) *receiver.Receiver {
+func newReceiver(s settler.Settings, e Epoch, p Platform, ra *rationer.Rationer, w *configurer.Configurer, a *authenticator.Authenticator, li *limiter.Limiter, pr *prober.Prober, q *requester.Requester, dr *drainer.Drainer, m *measurer.Measurer, t *tracer.Tracer) *receiver.Receiver {
 	var await time.Duration
 	limit, entry := li.Take, func(workspace string) string { return entryOf(s, li, pr, workspace) }
 	if s.ServesOn() {
@@ -126,7 +112,7 @@
 		Limit:   limit,
 		Entry:   entry,
 		Forward: q.Forward,
-		Count:   counter(m),
+		Count:   m.Request,
 	}
 }
 
@@ -135,21 +121,9 @@
 // back, and the configuration takes some round trips.
 const firstAwait = 400 * time.Millisecond
 
-// counter counts requests by code and their latency in microseconds.
-func counter(m metrics.Registry) func(coder.Code, time.Duration) {
-	took := metrics.NewRegisteredHistogram("request.took", m, metrics.NewUniformSample(sampleSize))
-	return func(c coder.Code, d time.Duration) {
-		metrics.GetOrRegisterCounter("request.code."+coder.Lookup(c).Name, m).Inc(1)
-		took.Update(d.Microseconds())
-	}
-}
-
-// sampleSize is how many latencies a histogram keeps.
-const sampleSize = 1028
-
-func newReporter(s settler.Settings, w *configurer.Configurer, ro *Roster, r *registrar.Registrar, dr *drainer.Drainer, li *limiter.Limiter, m metrics.Registry, t *tracer.Tracer) *reporter.Reporter {
+func newReporter(s settler.Settings, w *configurer.Configurer, ro *Roster, r *registrar.Registrar, dr *drainer.Drainer, li *limiter.Limiter, m *measurer.Measurer, t *tracer.Tracer) *reporter.Reporter {
 	return &reporter.Reporter{
-		Index: w.Index, Nodes: ro.Nodes, Targets: ro.Spreader.Targets, Registrar: r, Metrics: m, Tracer: t,
+		Index: w.Index, Nodes: ro.Nodes, Targets: ro.Spreader.Targets, Registrar: r, Metrics: m.Registry, Tracer: t,
 		Digest: func() string { return w.Head().Manifest.String() },
 		Ready: func() string {
 			switch {
--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -6,8 +6,6 @@
 	"strings"
 	"time"
 
-	"github.com/rcrowley/go-metrics"
-
 	"github.com/zinniaproxy/zinniaproxy/internal/authenticator"
 	"github.com/zinniaproxy/zinniaproxy/internal/configurer"
 	"github.com/zinniaproxy/zinniaproxy/internal/linker"
@@ -18,16 +16,14 @@
 	"github.com/zinniaproxy/zinniaproxy/internal/tracer"
 )
 
-func newProber(s settler.Settings, e Epoch, m metrics.Registry) *prober.Prober {
-	p := &prober.Prober{
+func newProber(s settler.Settings, e Epoch) *prober.Prober {
+	return &prober.Prober{
 		Node: messenger.Node{
 			Name: s.Name, Epoch: uint64(e), Link: s.Link, HTTP: s.Callers,
 			Centre: s.Centre, Region: s.Region, Started: time.Now(), Admin: s.Admin,
 		},
 		Secret: []byte(s.Secret), Seeds: seedAddresses(s), Unstamped: s.ServesOn(),
 	}
-	countHeartbeats(p, m)
-	return p
 }
 
 // seedAddresses returns the link addresses of the seeds, without this node's.
@@ -45,18 +41,6 @@
 	return out
 }
 
-// countHeartbeats puts the heartbeats' bytes into the metrics.
-func countHeartbeats(p *prober.Prober, m metrics.Registry) {
-	for name, value := range map[string]func(prober.Counts) uint64{
-		"sent":       func(c prober.Counts) uint64 { return c.SentBytes },
-		"received":   func(c prober.Counts) uint64 { return c.ReceivedBytes },
-		"rejected":   func(c prober.Counts) uint64 { return c.Rejected },
-		"suspicions": func(c prober.Counts) uint64 { return c.Suspicions },
-	} {
-		metrics.NewRegisteredFunctionalGauge("prober."+name, m, func() int64 { return int64(value(p.Counts())) })
-	}
-}
-
 func newRecorder(p Platform, pr *prober.Prober) *prober.Recorder {
 	return &prober.Recorder{Store: p.Store, Prober: pr, Log: p.Log, Soon: p.Source != nil}
 }
--- a/internal/node/wire.go
+++ b/internal/node/wire.go
@@ -11,7 +11,7 @@
 // New puts a node together. Its parts are tied by bind.
 func New(s settler.Settings, p Platform) *Node {
 	wire.Build(
-		newEpoch, newTracer, newMetrics, newProber, newRecorder, newSpreader, newRoster, newConfigurer, newAuthenticator,
+		newEpoch, newTracer, newMeasurer, newProber, newRecorder, newSpreader, newRoster, newConfigurer, newAuthenticator,
 		newDetector, newAdmitter, newPicker, newLimiter, newRationer, newLinker, newRegistrar,
 		newSender, newDeduper, newRetrier, newRecords, newDrainer, newDispatcher, newBidder, newForwarder, newRequester, newReceiver, newReporter,
 		wire.Struct(new(parts), "*"), bind,
--- a/internal/node/wire_gen.go
+++ b/internal/node/wire_gen.go
@@ -15,9 +15,9 @@
 // New puts a node together. Its parts are tied by bind.
 func New(s settler.Settings, p Platform) *Node {
 	tracer := newTracer(s, p)
-	registry := newMetrics()
+	measurer := newMeasurer(p)
 	epoch := newEpoch()
-	prober := newProber(s, epoch, registry)
+	prober := newProber(s, epoch)
 	spreader := newSpreader(s, epoch, prober)
 	roster := newRoster(s, prober, spreader)
 	linker := newLinker(s, epoch, p, roster, tracer)
@@ -31,21 +31,21 @@
 	retrier := newRetrier(s, p, prober, picker)
 	drainer := newDrainer(s, configurer, registrar, tracer)
 	recorder := newRecords(s, p, prober, linker, tracer)
-	dispatcher := newDispatcher(registrar, admitter, sender, deduper, drainer, tracer)
+	dispatcher := newDispatcher(registrar, admitter, sender, deduper, drainer, measurer, tracer)
 	bidder := newBidder(s, picker, admitter, linker, registrar)
-	forwarder := newForwarder(s, picker, linker, dispatcher, bidder, tracer)
+	forwarder := newForwarder(s, picker, linker, dispatcher, bidder, measurer, tracer)
 	rationer := newRationer(s, p, configurer, prober)
 	authenticator := newAuthenticator(s, configurer, prober)
 	limiter := newLimiter(s, epoch, p, configurer, prober, tracer)
 	requester := newRequester(forwarder, linker, retrier, recorder)
-	receiver := newReceiver(s, epoch, p, rationer, configurer, authenticator, limiter, prober, requester, drainer, registry, tracer)
-	reporter := newReporter(s, configurer, roster, registrar, drainer, limiter, registry, tracer)
+	receiver := newReceiver(s, epoch, p, rationer, configurer, authenticator, limiter, prober, requester, drainer, measurer, tracer)
+	reporter := newReporter(s, configurer, roster, registrar, drainer, limiter, measurer, tracer)
 	proberRecorder := newRecorder(p, prober)
 	nodeParts := parts{
 		Settings:      s,
 		Platform:      p,
 		Tracer:        tracer,
-		Metrics:       registry,
+		Measurer:      measurer,
 		Linker:        linker,
 		Registrar:     registrar,
 		Sender:        sender,
--- a/internal/retrier/budget.go
+++ b/internal/retrier/budget.go
@@ -25,3 +25,9 @@
 	b.tokens--
 	return true
 }
+
+func (b *budget) left() float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.tokens
+}
--- a/internal/retrier/retrier.go
+++ b/internal/retrier/retrier.go
@@ -135,6 +135,19 @@
 	}
 }
 
+// Left returns how many extra attempts the budgets of all services pay for now.
+func (r *Retrier) Left() (tokens float64) {
+	for i := range r.shards {
+		s := &r.shards[i]
+		s.mu.Lock()
+		for _, v := range s.services {
+			tokens += v.budget.left()
+		}
+		s.mu.Unlock()
+	}
+	return tokens
+}
+
 // Attempts is how a request is tried.
 type Attempts[R any] struct {
 	// Try makes one attempt; tries are numbered from 0.
