--- a/internal/limiter/holder.go
+++ b/internal/limiter/holder.go
@@ -139,6 +139,14 @@
 	}
 }
 
+// given returns the node that a share was handed to and that the record does
+// not name yet, or "".
+func (h *holder) given(share int) string {
+	h.mu.RLock()
+	defer h.mu.RUnlock()
+	return h.gave[share].to
+}
+
 func (h *holder) confirmAt(at time.Time) {
 	h.confirm.Lock()
 	defer h.confirm.Unlock()
--- a/internal/limiter/join_test.go
+++ b/internal/limiter/join_test.go
@@ -1,6 +1,7 @@
 package limiter
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -30,3 +31,36 @@
 		f.close()
 	})
 }
+
+// TestGiverAsksWhereItsSharesWent has a node join while the store takes no
+// writes, so that the record cannot name it: requests at the nodes that handed
+// it shares must be admitted as those elsewhere.
+func TestGiverAsksWhereItsSharesWent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, f := qt.New(t), newFleet(t, 2)
+		var names []string
+		for i := range 30 {
+			names = append(names, fmt.Sprint("w", i))
+			f.set(names[i], 10, 20)
+		}
+		for i := range 3 {
+			f.start(i, 1, nil)
+		}
+		time.Sleep(30 * time.Second)
+		f.start(3, 1, nil)
+		for _, n := range f.all() {
+			n.mu.Lock()
+			n.nowrite = true
+			n.mu.Unlock()
+		}
+		time.Sleep(30 * time.Second)
+		for _, n := range f.all() {
+			for _, w := range names {
+				f.call(n, w)
+			}
+		}
+		c.Check(f.refused, qt.HasLen, 0)
+		c.Check(f.all()[3].holds(), qt.IsTrue, qt.Commentf("nothing was handed over"))
+		f.close()
+	})
+}
--- a/internal/limiter/spender.go
+++ b/internal/limiter/spender.go
@@ -327,6 +327,9 @@
 	if node := l.spender.hinted(share, r.Number); node != "" {
 		return node
 	}
+	if node := l.holder.given(share); node != "" {
+		return node
+	}
 	if name := l.look().alive[r.Holder(share)]; name != "" {
 		return name
 	}
