--- a/internal/commander/target.go
+++ b/internal/commander/target.go
@@ -1,6 +1,7 @@
 package commander
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"flag"
@@ -26,10 +27,10 @@
 )
 
 type targetFlags struct {
-	service, address, admin, faults string
-	slots                           int
-	took                            time.Duration
-	seed                            uint64
+	service, address, as, admin, faults string
+	slots                               int
+	took                                time.Duration
+	seed                                uint64
 }
 
 func (c *Commander) target() *ffcli.Command {
@@ -42,6 +43,7 @@
 	}, func(set *flag.FlagSet) {
 		set.StringVar(&f.service, "service", "", "name of the service")
 		set.StringVar(&f.address, "address", "", "IP and port to listen at")
+		set.StringVar(&f.as, "as", "", "IP and port to announce, where that is not the address")
 		set.StringVar(&f.admin, "admin", "", "admin address of the node on this VM; empty announces nothing")
 		set.IntVar(&f.slots, "slots", 7, "how many requests run at once")
 		set.DurationVar(&f.took, "time", 10*time.Millisecond, "how long a request takes")
@@ -57,6 +59,9 @@
 	if _, err := netip.ParseAddrPort(f.address); err != nil {
 		return coder.New(coder.BadSettings, "address: %.80q: must be an IP and a port", f.address)
 	}
+	if _, err := netip.ParseAddrPort(f.as); err != nil && f.as != "" {
+		return coder.New(coder.BadSettings, "as: %.80q: must be an IP and a port", f.as)
+	}
 	if _, err := netip.ParseAddrPort(f.admin); err != nil && f.admin != "" {
 		return coder.New(coder.BadSettings, "admin: %.80q: must be an IP and a port", f.admin)
 	}
@@ -94,7 +99,7 @@
 	var leaving atomic.Bool
 	changed := make(chan struct{}, 1)
 	a := &announcer.Announcer{
-		Node: f.admin, Service: f.service, Address: f.address, Slots: f.slots,
+		Node: f.admin, Service: f.service, Address: cmp.Or(f.as, f.address), Slots: f.slots,
 		Epoch: uint64(time.Now().UnixMilli()), Changed: changed, Client: client(),
 		State:  func() announcer.State { return stateOf(fake.Faults(), leaving.Load()) },
 		Failed: func(err error) { _, _ = fmt.Fprintln(c.Err, "announcement failed:", err) },
