--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -230,12 +230,16 @@
 	return len(gone) > 0
 }
 
-// Lookup returns a target by name.
+// Lookup returns a target by name, unless its announcement has lapsed: after a
+// pause of the process nobody has removed it yet.
 func (r *Registrar) Lookup(name string) (messenger.Target, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	rec, ok := r.records[name]
-	return rec.target, ok
+	if !ok || time.Now().After(rec.until) {
+		return messenger.Target{}, false
+	}
+	return rec.target, true
 }
 
 // Targets returns all targets in the order of their names.
