--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -238,10 +238,10 @@
 	f := a.Detector.Start(j.Target.Name)
 	watchHead(j, f, gate)
 	return func(o dispatcher.Outcome) {
-		k := kind(o.Result)
-		s.ramp.Done(k, f.Done(k), s.queue.State().Flying)
+		l := lessons[o.Result]
+		s.ramp.Done(l.kind, f.Done(l.kind), s.queue.State().Flying)
 		if gate != nil {
-			gate.Done(told(o.Result))
+			gate.Done(l.gate)
 		}
 		release()
 	}, nil
@@ -273,19 +273,21 @@
 	return f, err
 }
 
-// told returns what an outcome tells the gater.
-func told(r dispatcher.Result) gater.Outcome {
-	switch r {
-	case dispatcher.Good:
-		return gater.Good
-	case dispatcher.Failed:
-		return gater.Failed
-	case dispatcher.CutShort:
-		return gater.Cut
-	case dispatcher.TimedOut, dispatcher.Canceled:
-		return gater.Late
-	}
-	return gater.Silent
+// lesson is what the outcome of a call tells of its target.
+type lesson struct {
+	kind detector.Kind
+	gate gater.Outcome
+}
+
+var lessons = map[dispatcher.Result]lesson{
+	dispatcher.NotSent:  {detector.Canceled, gater.Silent},
+	dispatcher.Good:     {detector.Good, gater.Good},
+	dispatcher.Failed:   {detector.Failed, gater.Failed},
+	dispatcher.CutShort: {detector.Cut, gater.Cut},
+	dispatcher.TimedOut: {detector.Timeout, gater.Late},
+	dispatcher.Shed:     {detector.Shed, gater.Silent},
+	// The gater weighs by itself how long a call ran that was given up.
+	dispatcher.Canceled: {detector.Canceled, gater.Late},
 }
 
 // watchHead lets the flight know of the head of the answer: the time of the
@@ -300,21 +302,3 @@
 		return head(h, last)
 	}
 }
-
-// kind returns what an outcome tells of the target. A call that was not sent
-// tells nothing.
-func kind(r dispatcher.Result) detector.Kind {
-	switch r {
-	case dispatcher.Good:
-		return detector.Good
-	case dispatcher.Failed:
-		return detector.Failed
-	case dispatcher.CutShort:
-		return detector.Cut
-	case dispatcher.TimedOut:
-		return detector.Timeout
-	case dispatcher.Shed:
-		return detector.Shed
-	}
-	return detector.Canceled
-}
