Owe nothing for promised tokens once they are due

Found while reading: promised tokens leave the level below zero at the old rate, so that a workspace whose rate falls from 40 to 1 a second was refused for 40 s. TestFallenRateIsNotOwedFor failed before.

--- a/internal/bucketer/bucketer.go
+++ b/internal/bucketer/bucketer.go
@@ -29,9 +29,10 @@
 // pace is the rate by a clock that may be fast.
 func (t Terms) pace() float64 { return t.Rate * (1 - t.Drift) }
 
+// lot is tokens that may be spent from due until the end.
 type lot struct {
-	count float64
-	until time.Time
+	count      float64
+	due, until time.Time
 }
 
 // Bucket is the state of one workspace. It is not safe for use from several
@@ -67,7 +68,7 @@
 func Restore(now time.Time, level, out float64, lapse time.Duration) *Bucket {
 	b := &Bucket{level: level, at: now, gone: now}
 	if out > 0 {
-		b.out = []lot{{out, now.Add(lapse)}}
+		b.out = []lot{{out, now.Add(lapse), now.Add(lapse)}}
 	}
 	return b
 }
@@ -90,7 +91,8 @@
 		b.at = now
 	}
 	room := t.Burst - b.outstanding()
-	b.level = min(b.level, room)
+	// Tokens that are due have been paid for, also when the rate fell meanwhile.
+	b.level = max(min(b.level, room), -b.undue(now))
 	for i := range b.backs {
 		b.backs[i].room = min(b.backs[i].room, room-b.level)
 	}
@@ -105,6 +107,16 @@
 	}
 }
 
+// undue returns how many promised tokens are not due yet.
+func (b *Bucket) undue(now time.Time) (sum float64) {
+	for _, l := range b.out {
+		if l.due.After(now) {
+			sum += l.count
+		}
+	}
+	return sum
+}
+
 func (b *Bucket) outstanding() float64 {
 	sum := 0.0
 	for _, l := range b.out {
@@ -123,7 +135,7 @@
 	}
 	b.level -= n
 	if hold > 0 {
-		b.hold(n, now.Add(hold))
+		b.hold(n, now, now.Add(hold))
 	}
 	return int(n)
 }
@@ -140,20 +152,20 @@
 			break
 		}
 		b.level--
-		b.hold(1, now.Add(after+hold))
+		b.hold(1, now.Add(after), now.Add(after+hold))
 		due = append(due, after)
 	}
 	return due
 }
 
-func (b *Bucket) hold(n float64, until time.Time) {
+func (b *Bucket) hold(n float64, due, until time.Time) {
 	for i := range b.out {
 		if d := until.Sub(b.out[i].until); d >= 0 && d < grain {
-			b.out[i] = lot{b.out[i].count + n, until}
+			b.out[i] = lot{b.out[i].count + n, due, until}
 			return
 		}
 	}
-	b.out = append(b.out, lot{n, until})
+	b.out = append(b.out, lot{n, due, until})
 }
 
 // Return puts back tokens that nobody spent nor will, and of which the first
--- a/internal/bucketer/bucketer_test.go
+++ b/internal/bucketer/bucketer_test.go
@@ -225,3 +225,16 @@
 	c.Assert(b.Promise(now, terms, 1, time.Second, 0), qt.DeepEquals, []time.Duration{250 * time.Millisecond})
 	c.Assert(b.Promise(now, terms, 20, time.Second, 0), qt.HasLen, 7)
 }
+
+// TestFallenRateIsNotOwedFor lowers the rate by much while tokens are promised:
+// once they are due, the next ones come at the new rate.
+func TestFallenRateIsNotOwedFor(t *testing.T) {
+	c := qt.New(t)
+	b := Restore(start, 0, 0, 0)
+	c.Assert(b.Promise(start, Terms{Rate: 40, Burst: 40}, 40, time.Second, 30*time.Millisecond), qt.HasLen, 40)
+	slow := Terms{Rate: 1, Burst: 5}
+	now := start.Add(500 * time.Millisecond)
+	c.Assert(b.Take(now, slow, 1, 0), qt.Equals, 0)
+	now = start.Add(4 * time.Second)
+	c.Assert(b.Take(now, slow, 5, 0), qt.Equals, 2)
+}
