--- a/internal/limiter/limiter_test.go
+++ b/internal/limiter/limiter_test.go
@@ -242,7 +242,9 @@
 			time.Sleep(20 * time.Millisecond)
 		}
 		time.Sleep(2 * time.Second)
+		mu.Lock()
 		c.Check(order, qt.DeepEquals, []int{0, 1, 2, 3, 4, 5, 6, 7})
+		mu.Unlock()
 		f.close()
 	})
 }
