--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -23,7 +23,10 @@
 	MaxTTL = time.Minute
 	// MaxTargets is how many targets one node takes.
 	MaxTargets = 256
-	sweepEvery = 100 * time.Millisecond
+	// maxWithdrawn is how many instances are kept that said that they are gone:
+	// some starts of each target within MaxTTL.
+	maxWithdrawn = 4 * MaxTargets
+	sweepEvery   = 100 * time.Millisecond
 )
 
 // Announcement is what a target says of itself.
@@ -35,8 +38,8 @@
 	State messenger.State
 	// TTL is how long the announcement holds.
 	TTL time.Duration
-	// Epoch is the target's own count of its starts; another one means that
-	// the target was replaced.
+	// Epoch is the Unix millisecond of the target's start; another one means
+	// that the target was replaced.
 	Epoch uint64
 	// Instance is the target's name for its process, if it has one. With it,
 	// Epoch and Sequence order announcements: an earlier one is ignored.
@@ -79,9 +82,9 @@
 
 	mu      sync.Mutex
 	records map[string]record
-	// withdrawn are the processes that said that they are gone, until their
+	// withdrawn are the instances that said that they are gone, until their
 	// late announcements can no longer come.
-	withdrawn map[string]time.Time
+	withdrawn map[string]withdrawal
 	epoch     uint64
 }
 
@@ -134,7 +137,7 @@
 	if a.Instance == "" {
 		return false
 	}
-	if _, gone := r.withdrawn[processName(a.Instance, a.Epoch)]; gone {
+	if w, gone := r.withdrawn[a.Instance]; gone && a.Epoch <= w.epoch {
 		return true
 	}
 	if !known || old.target.Instance == "" {
@@ -146,8 +149,26 @@
 	return a.Instance == old.target.Instance && a.Sequence < old.sequence
 }
 
-func processName(instance string, epoch uint64) string {
-	return instance + "/" + strconv.FormatUint(epoch, 10)
+// withdrawal holds for the processes of an instance up to an epoch.
+type withdrawal struct {
+	epoch uint64
+	until time.Time
+}
+
+// withdraw keeps that an instance is gone. One whose epoch is not known, since
+// it was only found or this process has just started, has begun before now: it
+// runs on this VM, by the same clock. The caller holds the lock.
+func (r *Registrar) withdraw(instance string, said uint64, now time.Time) {
+	if said == 0 {
+		said = uint64(now.UnixMilli())
+	}
+	if r.withdrawn == nil {
+		r.withdrawn = map[string]withdrawal{}
+	}
+	if _, ok := r.withdrawn[instance]; !ok && len(r.withdrawn) >= maxWithdrawn {
+		return
+	}
+	r.withdrawn[instance] = withdrawal{max(said, r.withdrawn[instance].epoch), now.Add(MaxTTL)}
 }
 
 func (r *Registrar) put(name string, rec record) {
@@ -209,17 +230,16 @@
 	now := time.Now()
 	r.mu.Lock()
 	var gone []string
+	said := uint64(0)
 	for name, rec := range r.records {
 		if rec.target.Instance != instance {
 			continue
 		}
 		delete(r.records, name)
 		gone = append(gone, name)
-		if r.withdrawn == nil {
-			r.withdrawn = map[string]time.Time{}
-		}
-		r.withdrawn[processName(instance, rec.said)] = now.Add(MaxTTL)
+		said = max(said, rec.said)
 	}
+	r.withdraw(instance, said, now)
 	r.mu.Unlock()
 	for _, name := range gone {
 		r.Tracer.Add(tracer.Event{Kind: "target-withdrawn", Target: name, Detail: instance})
@@ -295,9 +315,9 @@
 			gone = append(gone, name)
 		}
 	}
-	for process, until := range r.withdrawn {
-		if now.After(until) {
-			delete(r.withdrawn, process)
+	for instance, w := range r.withdrawn {
+		if now.After(w.until) {
+			delete(r.withdrawn, instance)
 		}
 	}
 	r.mu.Unlock()
