Wait for a promised token only while all holders of a wide workspace can grant

While some shares of a wide workspace were not ready yet, requests lined up at the one that was, a quarter of the rate, and did not ask the others again.

--- a/internal/limiter/spender.go
+++ b/internal/limiter/spender.go
@@ -187,24 +187,25 @@
 // attempt asks each share of the workspace once. Without a token it says when
 // to ask again.
 func (l *Limiter) attempt(ctx context.Context, workspace string, hash uint64, first int) verdict {
-	out := verdict{status: NotReady}
+	out, all := verdict{status: NotReady}, true
 	shares := l.shares(hash, first)
 	for _, share := range shares {
 		v := l.from(ctx, wantKey{workspace, share, len(shares) == 1})
 		if v.status == Granted {
 			return v
 		}
+		all = all && v.status == Short
 		if out.status != Short || v.status == Short && v.after < out.after {
 			out = v
 			out.share = share
 		}
 	}
-	if out.status == Short && len(shares) > 1 {
+	if all && len(shares) > 1 {
 		out = l.from(ctx, wantKey{workspace, out.share, true})
 	}
-	switch out.status {
-	case Granted:
-	case Short:
+	switch {
+	case out.status == Granted:
+	case out.status == Short && all:
 		out.after = max(out.after, retryMin)
 		l.note(workspace, hash, out.after)
 	default:
