--- a/internal/picker/return_test.go
+++ b/internal/picker/return_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -107,8 +108,11 @@
 func TestMeasureCold(t *testing.T) {
 	inRig(t, func(c *qt.C, r *rig) {
 		n := r.nodes[3]
+		var mu sync.Mutex
 		var ramped, noticed time.Duration
 		n.fault = func() fault {
+			mu.Lock()
+			defer mu.Unlock()
 			since := time.Since(r.start)
 			if n.ramp.Limit() == 6 && ramped == 0 {
 				ramped = since
--- a/internal/picker/rig_test.go
+++ b/internal/picker/rig_test.go
@@ -250,10 +250,12 @@
 	n.most = max(n.most, n.flying)
 	over := n.flying > n.target.Slots || f.cold && n.flying > 2
 	load := 1 + 0.5*float64(n.flying)/float64(n.target.Slots)
+	if over {
+		n.over++
+	}
 	r.mu.Unlock()
 	defer func() { r.mu.Lock(); n.flying--; r.mu.Unlock() }()
 	if over {
-		n.over++
 		return detector.Shed
 	}
 	took := base.Seconds() * max(w.times, 1) * max(f.slow, 1) * load * w.chance.slow
