--- a/internal/limiter/spender.go
+++ b/internal/limiter/spender.go
@@ -145,7 +145,8 @@
 	status Status
 	// after is when to ask again, and gap the time between two tokens.
 	after, gap time.Duration
-	// share granted the token, which is due and good until the given times.
+	// share granted the token, or has the next one. A token is due and good until
+	// the given times.
 	share      int
 	due, until time.Time
 	source
