--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -110,6 +111,22 @@
 	return &http.Client{Timeout: requestTimeout}
 }
 
+// numberFlag is a flag with a number, which may be a fraction.
+type numberFlag float64
+
+// String implements flag.Value.
+func (n *numberFlag) String() string { return strconv.FormatFloat(float64(*n), 'g', -1, 64) }
+
+// Set implements flag.Value.
+func (n *numberFlag) Set(s string) error {
+	v, err := strconv.ParseFloat(s, 64)
+	if err != nil {
+		return fmt.Errorf("%.80q is not a number", s)
+	}
+	*n = numberFlag(v)
+	return nil
+}
+
 // listFlag is a flag with several values, separated by commas or given by
 // repeating the flag.
 type listFlag []string
--- a/internal/node/attempts.go
+++ b/internal/node/attempts.go
@@ -54,7 +54,7 @@
 		r.Busy = func(service string) bool { return pi.OwnCentreLoad(service) >= maxHedgeLoad }
 	}
 	if s.Slack > 0 {
-		r.NodeBudget = func() float64 { return float64(p.settings(s).Slack) / float64(max(len(pr.Alive()), 1)) }
+		r.NodeBudget = func() float64 { return p.settings(s).Slack / float64(max(len(pr.Alive()), 1)) }
 	}
 	return r
 }
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -150,9 +150,9 @@
 }
 
 // millisOrDefault converts milliseconds to a duration; 0 means the fallback.
-func millisOrDefault(ms int, fallback time.Duration) time.Duration {
+func millisOrDefault(ms float64, fallback time.Duration) time.Duration {
 	if ms == 0 {
 		return fallback
 	}
-	return time.Duration(ms) * time.Millisecond
+	return time.Duration(ms * float64(time.Millisecond))
 }
--- a/internal/settingsloader/check.go
+++ b/internal/settingsloader/check.go
@@ -30,10 +30,9 @@
 	RatesStrict     = "strict"
 	RatesShared     = "shared"
 
-	maxTimeMillis    = 3_600_000
-	minGraceSeconds  = 1 // less is too short for peers to learn that the node leaves
-	maxGraceSeconds  = 3600
-	maxExtraRequests = 1_000_000 // bounds Slack and Excess
+	maxTimeMillis    = 86_400_000
+	maxGraceSeconds  = 86_400
+	maxExtraRequests = 1_000_000_000 // bounds Slack and Excess
 	minSecretBytes   = 16
 	maxSecretBytes   = 256
 	maxSeeds         = 1_024
@@ -53,10 +52,10 @@
 	ruleDialect       = "must be own or platform"
 	ruleRates         = "must be strict or shared"
 	ruleCentre        = "must be NAME=REGION"
-	ruleTime          = "must be 0 to 3600000 milliseconds"
-	ruleGrace         = "must be 1 to 3600 seconds"
+	ruleTime          = "must be 0 to 86400000 milliseconds"
+	ruleGrace         = "must be 0 to 86400 seconds"
 	ruleFraction      = "must be 0 to 1"
-	ruleExtraRequests = "must be 0 to 1000000"
+	ruleExtraRequests = "must be 0 to 1000000000"
 )
 
 var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$`)
@@ -121,17 +120,14 @@
 		ok = ok && namePattern.MatchString(name) && namePattern.MatchString(region)
 		c.require(ok, fmt.Sprintf("centres[%d]", i), v, ruleCentre)
 	}
-	for _, t := range []struct {
-		path  string
-		value int
-	}{{"beat", s.Beat}, {"notice", s.Notice}, {"linger", s.Linger}} {
-		c.require(t.value >= 0 && t.value <= maxTimeMillis, t.path, strconv.Itoa(t.value), ruleTime)
-	}
-	c.require(s.Grace == 0 || s.Grace >= minGraceSeconds && s.Grace <= maxGraceSeconds, "grace", fmt.Sprint(s.Grace), ruleGrace)
-	c.require(s.Floor >= 0 && s.Floor <= 1, "floor", fmt.Sprint(s.Floor), ruleFraction)
-	c.require(s.Ratio >= 0 && s.Ratio <= 1, "ratio", fmt.Sprint(s.Ratio), ruleFraction)
-	c.require(s.Slack >= 0 && s.Slack <= maxExtraRequests, "slack", strconv.Itoa(s.Slack), ruleExtraRequests)
-	c.require(s.Excess >= 0 && s.Excess <= maxExtraRequests, "excess", strconv.Itoa(s.Excess), ruleExtraRequests)
+	c.requireRange("beat", s.Beat, maxTimeMillis, ruleTime)
+	c.requireRange("notice", s.Notice, maxTimeMillis, ruleTime)
+	c.requireRange("linger", s.Linger, maxTimeMillis, ruleTime)
+	c.requireRange("grace", s.Grace, maxGraceSeconds, ruleGrace)
+	c.requireRange("floor", s.Floor, 1, ruleFraction)
+	c.requireRange("ratio", s.Ratio, 1, ruleFraction)
+	c.requireRange("slack", s.Slack, maxExtraRequests, ruleExtraRequests)
+	c.requireRange("excess", s.Excess, maxExtraRequests, ruleExtraRequests)
 }
 
 type checker struct {
@@ -145,6 +141,11 @@
 	c.problems = append(c.problems, declarer.Problem{Path: path, Value: fmt.Sprintf("%.80q", value), Rule: rule})
 }
 
+// requireRange requires a number from 0 to highest. NaN is outside of it.
+func (c *checker) requireRange(path string, value, highest float64, rule string) {
+	c.require(value >= 0 && value <= highest, path, strconv.FormatFloat(value, 'g', -1, 64), rule)
+}
+
 // checkAddresses checks the three addresses that a node listens on.
 func (c *checker) checkAddresses(s Settings) {
 	seen := map[string]bool{}
--- a/internal/settingsloader/settings.go
+++ b/internal/settingsloader/settings.go
@@ -51,12 +51,12 @@
 	// leaves in use, if no declaration gives it.
 	Floor float64 `json:"floor"`
 	// Beat is the interval at which a target announces itself, in milliseconds.
-	Beat int `json:"beat"`
+	Beat float64 `json:"beat"`
 	// Notice is how long a leaving target, data centre or node still takes new
 	// calls, and Linger how long a stopping node still accepts connections, both
 	// in milliseconds. 0 means the defaults.
-	Notice int `json:"notice"`
-	Linger int `json:"linger"`
+	Notice float64 `json:"notice"`
+	Linger float64 `json:"linger"`
 	// Grace is the time from the stop signal until the process is killed, in
 	// seconds. 0 means the default.
 	Grace float64 `json:"grace"`
@@ -64,10 +64,10 @@
 	// is how many each request adds, and Slack how many a service may make
 	// besides. 0 means the defaults.
 	Ratio float64 `json:"ratio"`
-	Slack int     `json:"slack"`
+	Slack float64 `json:"slack"`
 	// Excess is how many requests beyond its rate and burst a workspace may send
 	// over the whole fleet with shared rates.
-	Excess int `json:"excess"`
+	Excess float64 `json:"excess"`
 }
 
 // PrefersAvailability reports whether availability goes before strictness, which
