--- a/internal/linker/link.go
+++ b/internal/linker/link.go
@@ -38,6 +38,8 @@
 	conn   net.Conn
 	reader *bufio.Reader
 	dialed bool
+	// crossing tells that the peer is in another data centre.
+	crossing bool
 	// clockStart is when this side's link clock was zero.
 	clockStart time.Time
 	// writeReady holds at most one token, which signals queued frames.
@@ -75,6 +77,7 @@
 	if dialed {
 		k.nextID = 1
 	}
+	k.crossing = l.OwnCentre != nil && !l.OwnCentre(peer.Node)
 	return k
 }
 
@@ -92,7 +95,7 @@
 	if k.queuedBytes+len(o.payload) > maxQueuedBytesPerLink {
 		return coder.New(coder.Overloaded, "link to %s is full", k.peer.Node).WithAfter(overloadRetryAfter)
 	}
-	k.linker.traffic.sent[trafficMethod(o.method)].Add(int64(len(o.payload) + framer.HeaderBytes))
+	k.linker.traffic.addSent(o.method, int64(len(o.payload)+framer.HeaderBytes), k.crossing)
 	k.queue = append(k.queue, o)
 	k.queuedBytes += len(o.payload)
 	select {
--- a/internal/linker/linker.go
+++ b/internal/linker/linker.go
@@ -64,6 +64,9 @@
 	// Resolve returns the link address of a node, ok being false if the node is
 	// not known.
 	Resolve func(node string) (address string, ok bool)
+	// OwnCentre reports whether a node is in the data centre of this one, for the
+	// counters of bytes. Nil means that all nodes are.
+	OwnCentre func(node string) bool
 	// Tracer records events; nil drops them.
 	Tracer *tracer.Tracer
 
--- a/internal/linker/traffic.go
+++ b/internal/linker/traffic.go
@@ -3,8 +3,17 @@
 import "sync/atomic"
 
 // traffic counts the bytes of frames by method; 0 counts the links' own frames.
+// crossing is the part of sent that went to other data centres.
 type traffic struct {
-	sent, received [maxMethods]atomic.Int64
+	sent, received, crossing [maxMethods]atomic.Int64
+}
+
+// addSent counts a frame that is queued for a peer.
+func (t *traffic) addSent(m Method, bytes int64, crossing bool) {
+	t.sent[trafficMethod(m)].Add(bytes)
+	if crossing {
+		t.crossing[trafficMethod(m)].Add(bytes)
+	}
 }
 
 // addReceived counts a received frame.
@@ -25,6 +34,10 @@
 	return l.traffic.sent[m].Load(), l.traffic.received[m].Load()
 }
 
+// CrossingTraffic returns the part of the sent bytes of Traffic that went to
+// other data centres.
+func (l *Linker) CrossingTraffic(m Method) int64 { return l.traffic.crossing[m].Load() }
+
 // methodNames are the names of methods in metrics.
 var methodNames = map[Method]string{
 	0: "link", MethodCall: "call", MethodFence: "fence", MethodLimit: "limit", MethodTargets: "targets",
--- a/internal/node/membership.go
+++ b/internal/node/membership.go
@@ -34,6 +34,12 @@
 	return "", false
 }
 
+// InOwnCentre reports whether a node is known to be in this node's data centre.
+func (ms *Membership) InOwnCentre(node string) bool {
+	m, ok := ms.Prober.Member(node)
+	return ok && m.Centre == ms.Settings.Centre
+}
+
 // Nodes returns a view of each known node.
 func (ms *Membership) Nodes() []adminserver.NodeView {
 	var out []adminserver.NodeView
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -49,9 +49,11 @@
 func registerLinkMetrics(m *measurer.Measurer, l *linker.Linker, p *prober.Prober) {
 	for method, name := range linker.MethodNames() {
 		m.Gauge("link.sent."+name, func() int64 { sent, _ := l.Traffic(method); return sent })
+		m.Gauge("link.crossing."+name, func() int64 { return l.CrossingTraffic(method) })
 		m.Gauge("link.received."+name, func() int64 { _, received := l.Traffic(method); return received })
 	}
 	m.Gauge("prober.sent", func() int64 { return int64(p.Counts().SentBytes) })
+	m.Gauge("prober.crossing", func() int64 { return int64(p.Counts().CrossingBytes) })
 	m.Gauge("prober.received", func() int64 { return int64(p.Counts().ReceivedBytes) })
 	m.Gauge("prober.rejected", func() int64 { return int64(p.Counts().Rejected) })
 	m.Gauge("prober.suspicions", func() int64 { return int64(p.Counts().Suspicions) })
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -173,6 +173,7 @@
 		{"keys", n.Authenticator.Run},
 		{"judgements", n.runDetector},
 		{"limits", n.Admitter.Run},
+		{"traffic", n.logTraffic},
 	}
 	if n.Settings.PrefersAvailability() {
 		return cs
--- a/internal/node/provide.go
+++ b/internal/node/provide.go
@@ -40,7 +40,7 @@
 func newLinker(s settingsloader.Settings, e Epoch, p Platform, ms *Membership, t *tracer.Tracer) *linker.Linker {
 	return &linker.Linker{
 		Node: s.Name, Epoch: uint64(e), Secret: []byte(s.Secret),
-		Dial: p.Dial, Resolve: ms.Resolve, Tracer: t,
+		Dial: p.Dial, Resolve: ms.Resolve, OwnCentre: ms.InOwnCentre, Tracer: t,
 	}
 }
 
--- a/internal/prober/census.go
+++ b/internal/prober/census.go
@@ -15,7 +15,7 @@
 	}
 	s.census = &censusRound{nonce: rand.Uint64(), start: now, answered: map[string]bool{}}
 	for _, e := range peers {
-		p.send(e.Link, e.Epoch, &packet{Kind: censusRequest, Nonce: s.census.nonce})
+		p.send(e.Link, e.Centre, e.Epoch, &packet{Kind: censusRequest, Nonce: s.census.nonce})
 	}
 	p.finishCensus()
 }
--- a/internal/prober/gossip.go
+++ b/internal/prober/gossip.go
@@ -66,8 +66,9 @@
 }
 
 // send fills in the common fields of a packet and queues it for the process
-// toEpoch at addr. The caller holds the lock.
-func (p *Prober) send(addr string, toEpoch uint64, q *packet) {
+// toEpoch at addr, in a data centre that may be unknown. The caller holds the
+// lock.
+func (p *Prober) send(addr, centre string, toEpoch uint64, q *packet) {
 	if addr == "" {
 		return
 	}
@@ -79,7 +80,7 @@
 	if q.Stamp == nil && q.Kind != censusRequest {
 		q.Stamp = p.stamps.stampWithAge(p.stamps.newest)
 	}
-	p.sendQueue = append(p.sendQueue, datagram{to: addr, data: seal(p.Secret, q)})
+	p.sendQueue = append(p.sendQueue, datagram{to: addr, data: seal(p.Secret, q), crossing: centre != p.self.Centre})
 }
 
 // sendWithUpdates queues a packet with gossip updates for a member. The caller
@@ -88,7 +89,7 @@
 	if q.Updates == nil {
 		q.Updates = p.updatesFor(e)
 	}
-	p.send(e.Link, e.Epoch, q)
+	p.send(e.Link, e.Centre, e.Epoch, q)
 }
 
 // updatesFor returns the gossip updates for a member. One that is suspect or dead
--- a/internal/prober/probe.go
+++ b/internal/prober/probe.go
@@ -89,7 +89,7 @@
 func (p *Prober) contactFleet(now time.Time) {
 	for _, a := range p.Seeds {
 		if a != p.self.Link {
-			p.pingAddress(a, 0, now)
+			p.pingAddress(a, "", 0, now)
 		}
 	}
 	pingsLeft := fanout
@@ -98,7 +98,7 @@
 			break
 		}
 		if name != p.self.Name {
-			p.pingAddress(r.Link, 0, now)
+			p.pingAddress(r.Link, r.Centre, 0, now)
 			pingsLeft--
 		}
 	}
@@ -124,15 +124,15 @@
 			continue
 		}
 		p.probes.startupPingedAt[name] = now
-		p.pingAddress(r.Link, 0, now)
+		p.pingAddress(r.Link, r.Centre, 0, now)
 		pingsLeft--
 	}
 }
 
-func (p *Prober) pingAddress(addr string, epoch uint64, now time.Time) {
+func (p *Prober) pingAddress(addr, centre string, epoch uint64, now time.Time) {
 	nonce := rand.Uint64()
 	p.probes.extraPings[nonce] = now
-	p.send(addr, epoch, &packet{Kind: ping, Nonce: nonce, About: p.self.Link})
+	p.send(addr, centre, epoch, &packet{Kind: ping, Nonce: nonce, About: p.self.Link})
 }
 
 // probe advances the probe in progress and starts the next when it is due. The
@@ -264,5 +264,5 @@
 		p.sendWithUpdates(e, &packet{Kind: ping, Nonce: nonce, About: p.self.Link})
 		return
 	}
-	p.pingAddress(n.Link, 0, now)
+	p.pingAddress(n.Link, n.Centre, 0, now)
 }
--- a/internal/prober/prober.go
+++ b/internal/prober/prober.go
@@ -73,6 +73,9 @@
 type Counts struct {
 	// Sent and Received count datagrams, and the bytes of their payload.
 	Sent, Received, SentBytes, ReceivedBytes uint64
+	// CrossingBytes is the part of SentBytes that went to other data centres, or
+	// to nodes whose data centre is not known.
+	CrossingBytes uint64
 	// Rejected counts datagrams that were unauthenticated, replayed, outdated
 	// or malformed, or that name this node as their sender.
 	Rejected uint64
@@ -106,7 +109,7 @@
 	OnNumber func(Kind, uint64)
 
 	counts struct {
-		sent, received, sentBytes, receivedBytes, rejected, suspicions atomic.Uint64
+		sent, received, sentBytes, receivedBytes, crossingBytes, rejected, suspicions atomic.Uint64
 	}
 	started time.Time
 
@@ -137,6 +140,9 @@
 type datagram struct {
 	to   string
 	data []byte
+	// crossing tells that the receiver is not known to be in the data centre of
+	// this node.
+	crossing bool
 }
 
 // init prepares the state on its first call. The caller holds the lock.
@@ -250,6 +256,9 @@
 	for _, d := range out {
 		p.counts.sent.Add(1)
 		p.counts.sentBytes.Add(uint64(len(d.data)))
+		if d.crossing {
+			p.counts.crossingBytes.Add(uint64(len(d.data)))
+		}
 		_ = p.Socket.Send(d.to, d.data)
 	}
 }
@@ -350,7 +359,7 @@
 	c := &p.counts
 	return Counts{
 		Sent: c.sent.Load(), Received: c.received.Load(),
-		SentBytes: c.sentBytes.Load(), ReceivedBytes: c.receivedBytes.Load(),
+		SentBytes: c.sentBytes.Load(), ReceivedBytes: c.receivedBytes.Load(), CrossingBytes: c.crossingBytes.Load(),
 		Rejected: c.rejected.Load(), Suspicions: c.suspicions.Load(),
 	}
 }
--- a/internal/prober/receive.go
+++ b/internal/prober/receive.go
@@ -1,6 +1,7 @@
 package prober
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"time"
 
@@ -66,11 +67,12 @@
 	if e != nil {
 		updates = append(updates, e.update())
 	}
-	addr := q.About
-	if addr == "" && e != nil {
-		addr = e.Link
+	addr, centre := q.About, ""
+	if e != nil {
+		centre = e.Centre
+		addr = cmp.Or(addr, e.Link)
 	}
-	p.send(addr, q.FromEpoch, &packet{Kind: ack, Nonce: q.Nonce, Updates: p.nextUpdates(updates...)})
+	p.send(addr, centre, q.FromEpoch, &packet{Kind: ack, Nonce: q.Nonce, Updates: p.nextUpdates(updates...)})
 }
 
 // pingBack pings the sender of a ping that was meant for an earlier process of
@@ -78,7 +80,7 @@
 // seeds or the store. The caller holds the lock.
 func (p *Prober) pingBack(q *packet, now time.Time) {
 	if !p.joined && q.Kind == ping && q.About != "" && len(p.probes.extraPings) < relayCount {
-		p.pingAddress(q.About, q.FromEpoch, now)
+		p.pingAddress(q.About, "", q.FromEpoch, now)
 	}
 }
 
--- a/internal/prober/stamp.go
+++ b/internal/prober/stamp.go
@@ -193,7 +193,7 @@
 // ignored until it has answered.
 func (p *Prober) verifyClock(e *memberEntry, now time.Time) {
 	if len(p.probes.extraPings) < relayCount {
-		p.pingAddress(e.Link, e.Epoch, now)
+		p.pingAddress(e.Link, e.Centre, e.Epoch, now)
 	}
 }
 
