configurer: a few nodes read the operators' changes for the others

A record took four calls. About 32 nodes, the same number in each data centre by the hash of their names, watch; each node reads the first declaration itself, and a node that reaches no other watches too. A source that fails is asked less often by a node with peers. Peers of the own data centre are asked first, and a manifest that the node has is not fetched again. Module tests: 355 nodes, a third turned away by the store: a change is in force everywhere within 3 s; at most 96 calls, as at 75 nodes.

--- a/internal/configurer/configurer.go
+++ b/internal/configurer/configurer.go
@@ -76,9 +76,16 @@
 	// ExpectPeers is true when other nodes should be discovered after the start.
 	ExpectPeers bool
 	// DeclarationSource waits for a declaration with a higher number than after
-	// and returns it. It replaces the head and parts in the store where
+	// and returns it, or after a while a zero one if there is none. It replaces the head and parts in the store where
 	// operators keep their declaration elsewhere. Nil means the store.
 	DeclarationSource func(ctx context.Context, after uint64) (NumberedDeclaration, error)
+	// SourceReader reports whether this node reads changes from the source for
+	// the others. Every node reads the first declaration itself. Nil means that
+	// each reads all changes.
+	SourceReader func() bool
+	// NearPeers returns those of Peers that are asked first: the ones in the own
+	// data centre. It may be nil.
+	NearPeers func() []string
 	// OnChange is called with each new configuration, in order.
 	OnChange func(*indexer.Index)
 	// Tracer records events.
--- a/internal/configurer/fetch.go
+++ b/internal/configurer/fetch.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 )
@@ -54,13 +55,26 @@
 	return err == nil && h.Number > number && c.fetchAndInstall(ctx, h, "", true)
 }
 
-// randomPeers returns up to n peers in random order.
+// randomPeers returns up to n random peers, near ones first. One in n, at least,
+// is drawn from all peers, so that data centres do not go on with what only they
+// believe.
 func (c *Configurer) randomPeers(n int) []string {
-	peers := c.Peers()
-	order := rand.Perm(len(peers))
-	out := make([]string, 0, n)
-	for _, i := range order[:min(n, len(order))] {
-		out = append(out, peers[i])
+	var out []string
+	if c.NearPeers != nil {
+		out = appendRandom(out, c.NearPeers(), n-1)
+	}
+	return appendRandom(out, c.Peers(), n)
+}
+
+// appendRandom appends random names that out does not have until it has n.
+func appendRandom(out, names []string, n int) []string {
+	for _, i := range rand.Perm(len(names)) {
+		if len(out) >= n {
+			break
+		}
+		if !slices.Contains(out, names[i]) {
+			out = append(out, names[i])
+		}
 	}
 	return out
 }
@@ -119,6 +133,7 @@
 // in force. node, if not empty, has the head and is queried first.
 func (c *Configurer) fetchAndInstall(ctx context.Context, h Head, node string, allowStore bool) bool {
 	f := &partFetcher{c: c, node: node, allowStore: allowStore, fetched: map[Hash]cachedBlob{}}
+	f.useOwn(h.Manifest)
 	if err := f.fetch(ctx, []Hash{h.Manifest}, false); err != nil {
 		return false
 	}
@@ -156,11 +171,24 @@
 	storeReads int
 }
 
+// useOwn takes a manifest that this node has: the number of a declaration that
+// was written again differs, not its content.
+func (f *partFetcher) useOwn(h Hash) {
+	f.c.mu.Lock()
+	defer f.c.mu.Unlock()
+	if b := f.c.parts[h].data; b != nil {
+		f.fetched[h] = cachedBlob{data: b}
+	}
+}
+
 // fetch gets all manifests or parts with these hashes: from f.node, then from
 // random peers, then from the store if that is allowed. If it is and there are at
 // most maxUnpacedReads hashes, fetch reads from the store only. isPart is false
 // for manifests.
 func (f *partFetcher) fetch(ctx context.Context, hashes []Hash, isPart bool) error {
+	if f.countMissing(hashes) == 0 {
+		return nil
+	}
 	var nodes []string
 	if !f.allowStore || len(hashes) > maxUnpacedReads {
 		nodes = append([]string{f.node}, f.c.randomPeers(peersPerRound)...)
--- a/internal/configurer/source.go
+++ b/internal/configurer/source.go
@@ -13,9 +13,14 @@
 const (
 	// minSourceRetryDelay is the mean delay after the first failure of the
 	// source. It doubles up to maxSourceRetryDelay, which bounds how long a change
-	// is delayed on a node that does not get it from its peers.
+	// is delayed on a node that does not get it from its peers, or up to
+	// maxJoinedRetryDelay on one that has peers.
 	minSourceRetryDelay = 250 * time.Millisecond
 	maxSourceRetryDelay = time.Second
+	maxJoinedRetryDelay = 4 * time.Second
+	// readerCheckInterval is the mean interval at which a node that does not read
+	// from the source checks whether it should.
+	readerCheckInterval = 500 * time.Millisecond
 )
 
 // NumberedDeclaration is a declaration with its number and the identity of its
@@ -27,12 +32,16 @@
 }
 
 // followSource installs each declaration of the source until ctx ends. Nodes
-// whose source fails get changes from their peers.
+// that do not read from the source, or whose source fails, get changes from their
+// peers.
 func (c *Configurer) followSource(ctx context.Context) {
 	failing, delay := false, minSourceRetryDelay
 	for ctx.Err() == nil {
+		if c.Number() > 0 && !c.isSourceReader(ctx) {
+			continue
+		}
 		d, err := c.DeclarationSource(ctx, c.Number())
-		if err == nil {
+		if err == nil && d.Number > 0 {
 			err = c.installDeclared(d)
 		}
 		if (err != nil) != failing && ctx.Err() == nil {
@@ -48,7 +57,26 @@
 		case <-time.After(delay/2 + rand.N(delay)):
 		}
 		delay = min(2*delay, maxSourceRetryDelay)
+		if len(c.Peers()) > 0 {
+			delay = min(2*delay, maxJoinedRetryDelay)
+		}
+	}
+}
+
+// isSourceReader reports whether this node reads from the source. If it does not,
+// or has just started and does not know its peers yet, it first waits.
+func (c *Configurer) isSourceReader(ctx context.Context) bool {
+	if c.SourceReader == nil {
+		return true
+	}
+	if c.SourceReader() && time.Since(c.started) > readerCheckInterval {
+		return true
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(readerCheckInterval/2 + rand.N(readerCheckInterval)):
 	}
+	return false
 }
 
 // sourceEvent returns the event for a source that was lost (err is not nil) or is
--- a/internal/configurer/source_test.go
+++ b/internal/configurer/source_test.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -97,3 +100,68 @@
 		qt.Check(t, nodes["a"].Index().Fleet(), qt.Satisfies, func(f declarer.Fleet) bool { return len(f.Workspaces) > 0 })
 	})
 }
+
+// TestFewNodesReadSource runs a fleet of which a few nodes read the source, while
+// that rejects a third of all nodes. A change must be in force everywhere within
+// three seconds, and the calls must not grow with the fleet.
+func TestFewNodesReadSource(t *testing.T) {
+	for _, n := range []int{75, 355} {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			defer func() {
+				cancel()
+				time.Sleep(time.Minute)
+			}()
+			const readers = 32
+			source := &fakeSource{rejected: map[string]bool{}}
+			var names []string
+			for i := range n {
+				names = append(names, fmt.Sprintf("n-%03d", i))
+				source.rejected[names[i]] = i%3 == 0
+			}
+			nodes := map[string]*Configurer{}
+			var calls atomic.Int64
+			for i, name := range names {
+				read := source.source(name)
+				nodes[name] = &Configurer{
+					DeclarationSource: func(ctx context.Context, after uint64) (NumberedDeclaration, error) {
+						calls.Add(1)
+						return read(ctx, after)
+					},
+					SourceReader: func() bool { return i < readers },
+					Peers: func() []string {
+						return slices.DeleteFunc(slices.Clone(names), func(n string) bool { return n == name })
+					},
+					SendQuery: func(ctx context.Context, node string, q *Query) (*Reply, error) {
+						time.Sleep(time.Millisecond)
+						return nodes[node].Handle(ctx, name, q)
+					},
+					AnnounceNumber: func(number uint64) {
+						for range 4 {
+							go nodes[names[rand.IntN(n)]].NoteNumber(number)
+						}
+					},
+				}
+			}
+			for _, node := range nodes {
+				go func() { _ = node.Run(ctx) }()
+				go func() { // heartbeats carry the number too
+					for ctx.Err() == nil {
+						time.Sleep(time.Second)
+						node.NoteNumber(nodes[names[rand.IntN(n)]].Number())
+					}
+				}()
+			}
+			source.declare(7, "first")
+			time.Sleep(10 * time.Second)
+			calls.Store(0)
+			source.declare(12, "second")
+			time.Sleep(3 * time.Second)
+			for _, name := range names {
+				qt.Check(t, nodes[name].Number(), qt.Equals, uint64(12), qt.Commentf(name))
+			}
+			t.Logf("%d nodes: %d calls in three seconds of a change", n, calls.Load())
+			qt.Check(t, calls.Load() <= 3*readers, qt.IsTrue, qt.Commentf("%d calls", calls.Load()))
+		})
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -89,7 +89,7 @@
 	// with callers and targets. The zero value means exithandler.OwnDialect.
 	Dialect exithandler.Dialect
 	// DeclarationSource waits for a declaration with a number above after and
-	// returns it, if operators keep it elsewhere than as a head and parts in
+	// returns it, or after a while a zero one, if operators keep it elsewhere than as a head and parts in
 	// Store. Nil means the store.
 	DeclarationSource func(ctx context.Context, after uint64) (configurer.NumberedDeclaration, error)
 	// FindTarget looks for the target on this VM until it is found or announces
--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -59,6 +59,10 @@
 	return &configurer.Configurer{
 		Store: p.Store, DeclarationSource: p.DeclarationSource, Watching: pr.IsWatcher, ExpectPeers: len(seedAddresses(s)) > 0, Tracer: t,
 		AnnounceNumber: func(number uint64) { pr.RaiseNumber(prober.ConfigNumber, number) },
+		SourceReader:   pr.IsSourceReader,
+		NearPeers: func() []string {
+			return slices.DeleteFunc(slices.Clone(pr.AliveByCentre()[s.Centre]), func(name string) bool { return name == s.Name })
+		},
 		Peers: func() []string {
 			return slices.DeleteFunc(slices.Clone(pr.Alive()), func(name string) bool { return name == s.Name })
 		},
--- a/internal/prober/recorder.go
+++ b/internal/prober/recorder.go
@@ -49,8 +49,8 @@
 	// Log receives failures of store calls.
 	Log logr.Logger
 	// StoreOnlyDiscovery is for a fleet whose nodes find each other by the store
-	// alone: the node writes and reads records soon after its start and retries
-	// quickly.
+	// alone: the node writes and reads records soon after its start, and retries
+	// quickly until it has found another node.
 	StoreOnlyDiscovery bool
 
 	version uint64
@@ -108,7 +108,7 @@
 	defer cancel()
 	if err := call(ctx); err != nil {
 		r.Log.V(1).Info("node record failed", "call", name, "error", err.Error())
-		if r.StoreOnlyDiscovery {
+		if r.StoreOnlyDiscovery && !r.Prober.Joined() {
 			return storeOnlyRetryInterval
 		}
 		return retryInterval
@@ -136,18 +136,25 @@
 }
 
 // write renews the lease and writes the record, unless the store has the version
-// that this process wrote.
+// that this process wrote. The first write expects no record, since most
+// processes have none; it costs a call more after a restart.
 func (r *MemberRecorder) write(ctx context.Context) error {
 	n := r.Prober.Node
-	lease := "node-" + n.Name
+	key, lease := NodePrefix+n.Name, "node-"+n.Name
 	if err := r.Store.Lease(ctx, lease, recordLease); err != nil {
 		return err
 	}
-	e, err := r.Store.Get(ctx, NodePrefix+n.Name)
-	if err != nil || r.version != 0 && e.Version == r.version {
-		return err
+	var present storer.Entry
+	if r.version != 0 {
+		var err error
+		if present, err = r.Store.Get(ctx, key); err != nil || present.Version == r.version {
+			return err
+		}
+	}
+	v, err := r.Store.Swap(ctx, key, messenger.Encode(&n), present.Version, lease)
+	if errors.Is(err, storer.ErrConflict) {
+		v, err = r.Store.Swap(ctx, key, messenger.Encode(&n), v, lease)
 	}
-	v, err := r.Store.Swap(ctx, NodePrefix+n.Name, messenger.Encode(&n), e.Version, lease)
 	if err == nil {
 		r.version = v
 	}
--- a/internal/prober/stamp.go
+++ b/internal/prober/stamp.go
@@ -35,6 +35,11 @@
 	confirmTimeout = time.Second
 	// watcherCount is how many nodes query the store regularly.
 	watcherCount = 3
+	// sourceReaders is about how many nodes of the fleet read the operators'
+	// changes from the store, so that some do while the store turns a third of
+	// the nodes away; minCentreReaders is the least number in each data centre.
+	sourceReaders    = 32
+	minCentreReaders = 4
 	// minFreshnessGain is by how much a stamp must be newer than the one before
 	// to be pushed on at once.
 	minFreshnessGain = 200 * time.Millisecond
@@ -252,18 +257,36 @@
 	return len(p.Seeds) > 0 && !p.joined && now.Sub(p.started) < staleAge
 }
 
-// isWatcher reports whether this node is one of the watchers, which are the
-// watcherCount nodes whose names have the highest hashes, so that all nodes pick
-// the same.
-func (p *Prober) isWatcher() bool {
+// isWatcher reports whether this node is one of the watchers.
+func (p *Prober) isWatcher() bool { return p.ranksBelow(p.aliveNames(), watcherCount) }
+
+// ranksBelow reports whether fewer than count of the named nodes have a higher
+// hash of their name than this one, so that all nodes choose the same count of
+// them.
+func (p *Prober) ranksBelow(names []string, count int) bool {
 	ownHash := xxhash.Sum64String(p.self.Name)
 	above := 0
-	for _, n := range p.aliveNames() {
+	for _, n := range names {
 		if xxhash.Sum64String(n) > ownHash {
 			above++
 		}
 	}
-	return above < watcherCount
+	return above < count
+}
+
+// IsSourceReader reports whether this node is one of those that read the
+// operators' changes from the store for the others: sourceReaders of the fleet,
+// the same number in each data centre. A node that reaches no other is one too.
+func (p *Prober) IsSourceReader() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.init()
+	if !p.joined || p.isolated(time.Now()) {
+		return true
+	}
+	byCentre := p.memberList().aliveByCentre
+	perCentre := (sourceReaders + len(byCentre) - 1) / max(len(byCentre), 1)
+	return p.ranksBelow(byCentre[p.self.Centre], max(perCentre, minCentreReaders))
 }
 
 // refreshNumbers queries the store for the numbers. With fallback set, it starts
--- a/internal/storer/store.go
+++ b/internal/storer/store.go
@@ -39,8 +39,8 @@
 	// Get returns the entry of a key, with version 0 if it does not exist.
 	Get func(ctx context.Context, key string) (Entry, error)
 	// Swap writes value if the key is at version (0: does not exist) and returns
-	// the new version, or ErrConflict. A nil value deletes the key. A key
-	// with a lease other than "" is deleted when the lease expires.
+	// the new version, or the present one with ErrConflict. A nil value deletes
+	// the key. A key with a lease other than "" is deleted when the lease expires.
 	Swap func(ctx context.Context, key string, value []byte, version uint64, lease string) (uint64, error)
 	// List returns all entries below a prefix, sorted by key.
 	List func(ctx context.Context, prefix string) ([]Entry, error)
