--- a/internal/configurer/configurer.go
+++ b/internal/configurer/configurer.go
@@ -35,11 +35,10 @@
 	// peerDiscoveryWait is how long a node with seeds waits for peers before it
 	// reads parts from the store.
 	peerDiscoveryWait = 2 * time.Second
-	// A node that cannot catch up from its peers reads from the store after
-	// storeFallbackDelay plus a random part of storeFallbackJitter, and from then
-	// on about once per storeFallbackJitter.
-	storeFallbackDelay  = 2 * time.Second
-	storeFallbackJitter = 2 * time.Second
+	// Of the nodes that cannot catch up from their peers for storeFallbackDelay,
+	// one reads from the store in about storeFallbackInterval.
+	storeFallbackDelay    = 2 * time.Second
+	storeFallbackInterval = time.Second
 	// storeTimeout bounds one call to the store.
 	storeTimeout = 2 * time.Second
 	// maxUnpacedReads bounds the parts read from the store without a pause;
--- a/internal/configurer/fetch.go
+++ b/internal/configurer/fetch.go
@@ -29,12 +29,20 @@
 	if h.Number > number && c.fetchAndInstall(ctx, h, node, false) {
 		return true
 	}
-	if c.DeclarationSource != nil || time.Since(behindSince) < storeFallbackDelay+rand.N(storeFallbackJitter) || rand.N(storeFallbackJitter) > catchUpInterval || !c.mayReadStore() {
+	if c.DeclarationSource != nil || time.Since(behindSince) < storeFallbackDelay || !c.drawsFallback() || !c.mayReadStore() {
 		return false
 	}
 	return c.installFromStore(ctx, number)
 }
 
+// drawsFallback reports, at random, whether this node reads from the store in this
+// round: of the nodes that know each other, one does in about storeFallbackInterval.
+// The others are behind for the same reason, and get what it reads.
+func (c *Configurer) drawsFallback() bool {
+	rounds := float64(storeFallbackInterval) / float64(catchUpInterval)
+	return rand.Float64()*rounds*float64(len(c.Peers())+1) < 1
+}
+
 // isWatcher reports whether this node is one of the few that read from the store
 // first. Without Watching every node is.
 func (c *Configurer) isWatcher() bool { return c.Watching == nil || c.Watching() }
--- a/internal/prober/stamp.go
+++ b/internal/prober/stamp.go
@@ -251,10 +251,11 @@
 }
 
 // awaitsSeeds reports whether this node has just started and its seeds have not
-// answered. As it knows no other members until then, it would take itself for a
-// watcher, like all nodes of a fleet that starts at the same time.
+// answered, or not yet with all of the member list. As it knows few other members
+// until then, it would take itself for a watcher, like all nodes of a fleet that
+// starts at the same time.
 func (p *Prober) awaitsSeeds(now time.Time) bool {
-	return len(p.Seeds) > 0 && !p.joined && now.Sub(p.started) < staleAge
+	return len(p.Seeds) > 0 && (!p.joined || p.probes.pageRequested) && now.Sub(p.started) < staleAge
 }
 
 // isWatcher reports whether this node is one of the watchers.
--- a/internal/prober/sync.go
+++ b/internal/prober/sync.go
@@ -114,14 +114,14 @@
 
 // syncOnJoin requests the member list of the first member that answers this
 // process, at first only of one of the own data centre. If that has just started
-// too, its list is as incomplete, and the regular comparisons do. The caller holds
-// the lock.
+// too, its list is not more complete than the records that this process has, and
+// the regular comparisons do. The caller holds the lock.
 func (p *Prober) syncOnJoin(e *memberEntry, q *packet, now time.Time) {
 	if p.probes.joinSynced || e.Centre != p.self.Centre && now.Sub(p.started) < remotePingDelay {
 		return
 	}
 	p.probes.joinSynced = true
-	if q.Digest != p.digest() && q.Clock >= startupPeriod {
+	if q.Digest != p.digest() && (q.Clock >= startupPeriod || len(p.recorded) == 0) {
 		p.requestPage(e, "", now)
 	}
 }
