Admission: calls wait for a cold target, and idempotent ones are not refused for suspicion

A call now waits up to 250 ms for its turn, the burst is half a second, and one that the circuit breaker refuses takes nothing of the rate. While over 8% of the attempts at a service fail, idempotent calls try one that is idle for 1.2 s; a non-idempotent one goes to a target idle for 1.8 s instead of being refused.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -28,10 +28,11 @@
 	// number of slots divided by it.
 	limitStepDivisor = 4
 	// coldBurstSeconds is the burst at a cold target, in seconds of its rate.
-	coldBurstSeconds = 0.25
-	// coldRetryAfter is the retry-after of a call refused at a cold target, by
-	// when another call can probably start.
-	coldRetryAfter = 100 * time.Millisecond
+	coldBurstSeconds = 0.5
+	// maxColdWait bounds how long a call waits until its start keeps the rate of
+	// a cold target. Calls come at random, and refusing each that is early would
+	// refuse a third at half of the rate.
+	maxColdWait = 250 * time.Millisecond
 	// targetRetention is how long a target is kept after its last announcement.
 	targetRetention = time.Minute
 )
@@ -119,9 +120,8 @@
 	return a.ColdRate(t.Service)
 }
 
-// setColdRate sets the limit of calls per second; 0 means none. The burst is a
-// quarter of a second's calls, so that no second exceeds the limit by more than
-// a quarter.
+// setColdRate sets the limit of calls per second; 0 means none. The burst is half
+// of a second's calls, so that no second exceeds the limit by more than half.
 func (s *targetState) setColdRate(perSecond float64) {
 	if perSecond <= 0 {
 		s.coldLimiter.SetLimit(rate.Inf)
@@ -226,6 +226,15 @@
 	return a.Breaker.Risk(target)
 }
 
+// IdleTime returns for how long a target has gone without any call, or 0 if that
+// is not known or there is no circuit breaker.
+func (a *Admitter) IdleTime(target string) time.Duration {
+	if a.Breaker == nil {
+		return 0
+	}
+	return a.Breaker.IdleTime(target)
+}
+
 // Acquire waits for a slot of the job's target and starts to track the call. On
 // success the returned function must be called once with the outcome of the
 // call; it releases the slot. Errors are *coder.Error.
@@ -241,9 +250,9 @@
 	if err != nil {
 		return nil, err
 	}
-	if !s.coldLimiter.Allow() {
+	if err := s.awaitColdRate(ctx, a.breakerCheck(j)); err != nil {
 		release()
-		return nil, coder.New(coder.QueueTimeout, "%s is cold and its limit of calls per second is reached", j.Target.Name).WithAfter(coldRetryAfter)
+		return nil, err
 	}
 	admittedCall, err := a.passBreaker(j)
 	if err != nil {
@@ -262,6 +271,37 @@
 	}, nil
 }
 
+// awaitColdRate waits until a call may start at a cold target, for at most
+// maxColdWait. A call that check refuses takes nothing of the rate.
+func (s *targetState) awaitColdRate(ctx context.Context, check func() error) error {
+	if s.coldLimiter.Limit() == rate.Inf {
+		return nil
+	}
+	if check != nil {
+		if err := check(); err != nil {
+			return err
+		}
+	}
+	r := s.coldLimiter.Reserve()
+	wait := r.Delay()
+	if wait > maxColdWait {
+		r.Cancel()
+		return coder.New(coder.QueueTimeout, "the target is cold and its limit of calls per second is reached").WithAfter(wait)
+	}
+	if wait == 0 {
+		return nil
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		r.Cancel()
+		return coder.New(coder.Canceled, "while waiting for the rate of a cold target")
+	}
+}
+
 // breakerCheck returns a function that reports, while a call is queued, whether
 // the circuit breaker would reject it now. It is nil without a circuit breaker.
 func (a *Admitter) breakerCheck(j *exithandler.Job) func() error {
--- a/internal/admitter/admitter_test.go
+++ b/internal/admitter/admitter_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -94,3 +96,41 @@
 		qt.Check(t, len(callFor(time.Second)), qt.Equals, 200)
 	})
 }
+
+// TestColdFleetUnderLoad has calls arrive at random at half of a cold target's
+// rate, as after a restart of all targets under load. They must be admitted, and
+// soon, instead of being refused for coming close together.
+func TestColdFleetUnderLoad(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const perSecond, calls = 8.0, 400
+		target := messenger.Target{Name: "t", Service: "s", Epoch: 1, Slots: 50, State: messenger.Cold}
+		a := &Admitter{
+			ColdLimit: func(string) int { return 50 }, CentreOut: func() bool { return false }, ColdRate: func(string) float64 { return perSecond },
+			Detector: &detector.Detector{}, RefreshVerdicts: func() {},
+		}
+		a.ApplyVerdict(target)
+		random := rand.New(rand.NewPCG(1, 2))
+		var refused, late atomic.Int64
+		var running sync.WaitGroup
+		for range calls {
+			time.Sleep(time.Duration(random.ExpFloat64() * 2 / perSecond * float64(time.Second)))
+			running.Go(func() {
+				arrived := time.Now()
+				j := &exithandler.Job{Call: &messenger.Call{}, Target: target, Deadline: time.Now().Add(time.Second)}
+				release, err := a.Acquire(t.Context(), j)
+				if err != nil {
+					refused.Add(1)
+					return
+				}
+				if time.Since(arrived) > 100*time.Millisecond {
+					late.Add(1)
+				}
+				release(exithandler.Outcome{Result: exithandler.Good})
+			})
+		}
+		running.Wait()
+		t.Logf("of %d calls %d refused, %d admitted after 100 ms", calls, refused.Load(), late.Load())
+		qt.Check(t, refused.Load() <= calls/50, qt.IsTrue, qt.Commentf("%d refused", refused.Load()))
+		qt.Check(t, late.Load() <= calls/20, qt.IsTrue, qt.Commentf("%d late", late.Load()))
+	})
+}
--- a/internal/breaker/breaker.go
+++ b/internal/breaker/breaker.go
@@ -48,17 +48,18 @@
 // Parameters of admission.
 const (
 	// maxNonIdempotentRisk is the highest risk at which a non-idempotent call
-	// is admitted, maxRelaxedNonIdempotentRisk the same after other targets
+	// is admitted, MaxRelaxedNonIdempotentRisk the same after other targets
 	// were worse.
 	maxNonIdempotentRisk        = 0.3
-	maxRelaxedNonIdempotentRisk = 0.6
+	MaxRelaxedNonIdempotentRisk = 0.6
 	// maxIdempotentRisk is the highest risk at which all idempotent calls are
-	// admitted. Above it one trial call is admitted each trialInterval.
+	// admitted. Above it one trial call is admitted each trialInterval, and those
+	// for which other targets were worse.
 	maxIdempotentRisk = 0.5
 	trialInterval     = 400 * time.Millisecond
-	// maxIdleTime bounds how long a target goes without any call: after it, a
+	// MaxIdleTime bounds how long a target goes without any call: after it, a
 	// non-idempotent call is admitted too, whatever the risk.
-	maxIdleTime = 1800 * time.Millisecond
+	MaxIdleTime = 1800 * time.Millisecond
 	// maxRetryAfter bounds the retry-after of rejected calls.
 	maxRetryAfter = 2 * time.Second
 	// idleTargetRetention is how long the state of a target without calls is
@@ -166,12 +167,14 @@
 func (s *targetState) admits(c Call, risk float64, now time.Time) bool {
 	idle := now.Sub(s.lastAdmitted)
 	switch {
-	case idle >= maxIdleTime:
+	case idle >= MaxIdleTime:
 		return true
 	case c.NonIdempotent && c.RelaxRiskLimit:
-		return risk <= maxRelaxedNonIdempotentRisk
+		return risk <= MaxRelaxedNonIdempotentRisk
 	case c.NonIdempotent:
 		return risk <= maxNonIdempotentRisk
+	case c.RelaxRiskLimit:
+		return true // a refusal would be final, and a trial can be repeated
 	}
 	return risk <= maxIdempotentRisk || idle >= trialInterval
 }
@@ -203,6 +206,17 @@
 	return stationaryRisk()
 }
 
+// IdleTime returns for how long a target has gone without any call, or 0 if it is
+// not known. After MaxIdleTime the next call is admitted whatever the risk.
+func (b *Breaker) IdleTime(name string) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if s := b.targets[name]; s != nil {
+		return time.Since(s.lastAdmitted)
+	}
+	return 0
+}
+
 // state returns the state of a call's target. It creates one for a new epoch, and
 // then drops the states of idle targets. The caller holds the lock.
 func (b *Breaker) state(c Call, now time.Time) *targetState {
--- a/internal/loadprober/loadprober.go
+++ b/internal/loadprober/loadprober.go
@@ -8,6 +8,7 @@
 	"context"
 	"time"
 
+	"github.com/zinniaproxy/zinniaproxy/internal/breaker"
 	"github.com/zinniaproxy/zinniaproxy/internal/messenger"
 	"github.com/zinniaproxy/zinniaproxy/pkg/coder"
 )
@@ -29,10 +30,6 @@
 	// maxPreferredLoad is the load above which targets of other data centres
 	// are probed too: a call would queue for a slot.
 	maxPreferredLoad = 1.2
-	// maxRelaxedNonIdempotentRisk is the risk above which exit nodes admit no
-	// non-idempotent call, except to an idle target; package breaker has the
-	// same bound.
-	maxRelaxedNonIdempotentRisk = 0.6
 	// suspectRetryAfter is the retry-after of a call for which all probed
 	// targets were too risky. Fault episodes last seconds, and some end
 	// meanwhile.
@@ -43,6 +40,9 @@
 	// minRemoteGain is by how much the score of a target of the second, wide
 	// draw must be lower: traffic between data centres costs money.
 	minRemoteGain = 0.3
+	// trialIdleTime is for how long a target goes without calls before it is
+	// tried while calls of its service fail.
+	trialIdleTime = 1200 * time.Millisecond
 	// Scores of targets whose exit node does not reply, and of targets that
 	// accept no calls.
 	unansweredScore  = 10
@@ -69,6 +69,8 @@
 	Queue, InFlight, Limit int
 	// Unavailable tells that the target accepts no new calls.
 	Unavailable bool
+	// IdleTime is for how long the target has gone without any call.
+	IdleTime time.Duration
 }
 
 // Prober chooses targets at one entry node. Its fields are set before use.
@@ -87,6 +89,8 @@
 	// with each node whose probe failed while replies were still awaited.
 	OnReport     func(t messenger.Target, r Report)
 	OnProbeError func(node string, err error)
+
+	services services
 }
 
 // candidate is a probed target with its score. The lowest score is best.
@@ -95,17 +99,28 @@
 	score, risk float64
 	// sufficient tells that no further targets need to be probed.
 	sufficient bool
+	// idle is a probed target that has gone without calls for idleTime, at least
+	// trialIdleTime, or nil.
+	idle     *messenger.Target
+	idleTime time.Duration
 }
 
-// Choose returns the target for an attempt. A non-idempotent call is refused at
-// once if all probed targets are likely to hang. The error is a *coder.Error
-// with code NoTarget or Suspect.
+// Choose returns the target for an attempt. While calls of the service fail, a
+// target that has gone without calls is tried with an idempotent one, so that none
+// stays out for longer than its episode while callers are refused. If all probed
+// targets are likely to hang, a non-idempotent call goes to one that is idle, or
+// else is refused at once. The error is a *coder.Error with code NoTarget or
+// Suspect.
 func (p *Prober) Choose(ctx context.Context, c *messenger.Call, tried []string) (messenger.Target, error) {
 	best, ok := p.chooseCandidate(ctx, c, tried)
 	switch {
 	case !ok:
 		return messenger.Target{}, coder.New(coder.NoTarget, "service %s has no eligible target", c.Service)
-	case c.Once && best.risk > maxRelaxedNonIdempotentRisk:
+	case !c.Once && best.idle != nil && p.services.inTrouble(c.Service):
+		return *best.idle, nil
+	case c.Once && best.risk > breaker.MaxRelaxedNonIdempotentRisk && best.idleTime >= breaker.MaxIdleTime:
+		return *best.idle, nil
+	case c.Once && best.risk > breaker.MaxRelaxedNonIdempotentRisk:
 		return messenger.Target{}, coder.New(coder.Suspect, "all probed targets are likely to hang, the best with risk %.2f", best.risk).WithAfter(suspectRetryAfter)
 	}
 	return best.target, nil
@@ -125,9 +140,13 @@
 		tried = append(tried[:len(tried):len(tried)], t.Name)
 	}
 	remote, ok := p.bestCandidate(ctx, c, p.Candidates(c.Service, tried, maxProbes, true))
+	if best.idleTime > remote.idleTime {
+		remote.idle, remote.idleTime = best.idle, best.idleTime
+	}
 	if ok && remote.score+minRemoteGain < best.score {
 		return remote, true
 	}
+	best.idle, best.idleTime = remote.idle, remote.idleTime
 	return best, true
 }
 
@@ -143,7 +162,12 @@
 		}
 	}
 	var best candidate
+	var idle *messenger.Target
+	var idleTime time.Duration
 	for i, report := range p.probeAll(ctx, targets) {
+		if report != nil && !report.Unavailable && report.IdleTime > max(idleTime, trialIdleTime) {
+			idle, idleTime = &targets[i], report.IdleTime
+		}
 		sc := score(c, report)
 		if i == 0 || sc < best.score {
 			best = candidate{target: targets[i], score: sc}
@@ -153,6 +177,7 @@
 			}
 		}
 	}
+	best.idle, best.idleTime = idle, idleTime
 	return best, true
 }
 
--- a/internal/node/load.go
+++ b/internal/node/load.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net/http"
 
 	"github.com/zinniaproxy/zinniaproxy/internal/admitter"
 	"github.com/zinniaproxy/zinniaproxy/internal/attemptsender"
@@ -89,14 +90,22 @@
 	return func(ctx context.Context, c *messenger.Call, tried []string) (messenger.Target, func(attemptsender.Outcome), error) {
 		t, err := lp.Choose(ctx, c, tried)
 		if err != nil {
+			lp.RecordOutcome(c.Service, false)
 			return t, nil, err
 		}
 		c.RelaxRiskLimit = true // the best of several targets may have a higher risk
 		done := p.Begin(t)
-		return t, func(o attemptsender.Outcome) { done(pickerOutcome(t, o)) }, nil
+		return t, func(o attemptsender.Outcome) {
+			if !isCanceled(o.Err) {
+				lp.RecordOutcome(c.Service, o.Err == nil && o.Status < http.StatusInternalServerError)
+			}
+			done(pickerOutcome(t, o))
+		}, nil
 	}
 }
 
+func isCanceled(err error) bool { return err != nil && coder.Of(err).Code == coder.Canceled }
+
 func newLoadProber(s settingsloader.Settings, p *picker.Picker, a *admitter.Admitter, l *linker.Linker, r *targetregistrar.Registrar) *loadprober.Prober {
 	lp := &loadprober.Prober{
 		Self: s.Name, Candidates: p.Candidates,
@@ -127,7 +136,7 @@
 		return loadprober.Report{Unavailable: true}
 	}
 	l := a.Load(q.Target)
-	return loadprober.Report{Risk: a.Risk(q.Target), Queue: l.Queue, InFlight: l.InFlight, Limit: l.Limit}
+	return loadprober.Report{Risk: a.Risk(q.Target), Queue: l.Queue, InFlight: l.InFlight, Limit: l.Limit, IdleTime: a.IdleTime(q.Target)}
 }
 
 // pickerOutcome converts the outcome of an attempt to what the picker learns
