softlimiter: nodes that cannot reach a granting node take less in its place

The next node now grants a tenth, or three quarters while no member reaches the first; a node that reaches neither takes half of its part of the fleet. Choosing the granting node builds no strings.

--- a/internal/breaker/breaker.go
+++ b/internal/breaker/breaker.go
@@ -26,6 +26,8 @@
 	// meanEpisodeDuration the mean time that an episode lasts.
 	meanEpisodeInterval = 30 * time.Second
 	meanEpisodeDuration = 6 * time.Second
+	// StationaryRisk is the risk of a target of which nothing is known.
+	StationaryRisk = float64(meanEpisodeDuration) / float64(meanEpisodeDuration+meanEpisodeInterval)
 	// episodeFailureProbability is the fraction of calls that hang or fail
 	// during an episode.
 	episodeFailureProbability = 0.7
@@ -182,7 +184,7 @@
 // retryAfter returns the time in which a risk decays to where non-idempotent
 // calls are admitted again.
 func retryAfter(risk float64) time.Duration {
-	stationary := stationaryRisk()
+	const stationary = StationaryRisk
 	if risk <= maxNonIdempotentRisk || maxNonIdempotentRisk <= stationary {
 		return trialInterval
 	}
@@ -194,8 +196,6 @@
 	return 1/meanEpisodeInterval.Seconds() + 1/meanEpisodeDuration.Seconds()
 }
 
-func stationaryRisk() float64 { return 1 / meanEpisodeInterval.Seconds() / riskDecayPerSecond() }
-
 // Risk returns the probability that a target is in a fault episode.
 func (b *Breaker) Risk(name string) float64 {
 	b.mu.Lock()
@@ -203,18 +203,18 @@
 	if s := b.targets[name]; s != nil {
 		return s.currentRisk(time.Now())
 	}
-	return stationaryRisk()
+	return StationaryRisk
 }
 
-// IdleTime returns for how long a target has gone without any call, or 0 if it is
-// not known. After MaxIdleTime the next call is admitted whatever the risk.
+// IdleTime returns for how long a target has gone without any call, MaxIdleTime if
+// it had none yet. After that time the next call is admitted whatever the risk.
 func (b *Breaker) IdleTime(name string) time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if s := b.targets[name]; s != nil {
 		return time.Since(s.lastAdmitted)
 	}
-	return 0
+	return MaxIdleTime
 }
 
 // state returns the state of a call's target. It creates one for a new epoch, and
@@ -232,7 +232,7 @@
 		}
 	}
 	s := &targetState{
-		epoch: c.Epoch, risk: stationaryRisk(), riskTime: now, lastAdmitted: now,
+		epoch: c.Epoch, risk: StationaryRisk, riskTime: now, lastAdmitted: now,
 		latencies: map[string]*latencyDistribution{}, inFlight: map[*AdmittedCall]struct{}{},
 	}
 	if old := b.targets[c.Target]; old != nil {
@@ -258,7 +258,7 @@
 // stationary risk.
 func (s *targetState) decayRisk(now time.Time) {
 	decay := math.Exp(-now.Sub(s.riskTime).Seconds() * riskDecayPerSecond())
-	s.risk = stationaryRisk() + (s.risk-stationaryRisk())*decay
+	s.risk = StationaryRisk + (s.risk-StationaryRisk)*decay
 	s.riskTime = now
 }
 
--- a/internal/breaker/breaker_test.go
+++ b/internal/breaker/breaker_test.go
@@ -108,3 +108,17 @@
 		})
 	}
 }
+
+// A target that never had a call counts as idle, so that it is tried like one
+// that had none for long.
+func TestIdleTimeOfNewTarget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := &Breaker{}
+		qt.Check(t, b.IdleTime("t"), qt.Equals, MaxIdleTime)
+		a, _, err := b.Admit(newCall(false, false))
+		qt.Assert(t, err, qt.IsNil)
+		a.Done(Good)
+		time.Sleep(time.Second)
+		qt.Check(t, b.IdleTime("t"), qt.Equals, time.Second)
+	})
+}
--- a/internal/loadprober/loadprober.go
+++ b/internal/loadprober/loadprober.go
@@ -181,7 +181,9 @@
 	return best, true
 }
 
-// score weighs a load report for a call. The report is nil if none came.
+// score weighs a load report for a call. The report is nil if none came. For an
+// idempotent call, a target that has just proven well counts no more than one of
+// which nothing is known: otherwise the ones in use stay the only ones.
 func score(c *messenger.Call, r *Report) float64 {
 	switch {
 	case r == nil:
@@ -189,7 +191,11 @@
 	case r.Unavailable:
 		return unavailableScore
 	}
-	return riskWeight(c)*r.Risk + loadWeight*r.load()
+	risk := r.Risk
+	if !c.Once {
+		risk = max(risk, breaker.StationaryRisk)
+	}
+	return riskWeight(c)*risk + loadWeight*r.load()
 }
 
 func riskWeight(c *messenger.Call) float64 {
--- a/internal/softlimiter/softlimiter.go
+++ b/internal/softlimiter/softlimiter.go
@@ -28,10 +28,18 @@
 	// maxQueriesPerNode how often each of them if its link breaks.
 	maxNodesQueried   = 2
 	maxQueriesPerNode = 2
-	// fallbackFraction is the fraction of the rate that a node grants in place
-	// of another. fallbackKeySuffix separates that bucket from the node's own.
-	fallbackFraction  = 0.25
+	// fallbackFraction is the fraction of the rate that a node grants in place of
+	// another that may still be granting, and suspectFraction the same if no member
+	// reaches that one, so that it grants at most to itself. fallbackKeySuffix
+	// separates that bucket from the node's own.
+	fallbackFraction  = 0.1
+	suspectFraction   = 0.75
 	fallbackKeySuffix = "\ninstead"
+	// lastResortKeySuffix separates the bucket for the last resort, and
+	// lastResortDivisor divides the part of the rate, by the number of nodes,
+	// that a node grants to itself if it reaches no granting node.
+	lastResortKeySuffix = "\nalone"
+	lastResortDivisor   = 2
 	// maxGrantOverlap is how long two nodes may both grant for a workspace that
 	// moves between them. membershipSettleTime is how long after a membership
 	// change a workspace may be moving.
@@ -77,11 +85,15 @@
 type Limiter struct {
 	// Self is the name of this node.
 	Self string
-	// Alive returns the names of the running nodes, including this one.
+	// Alive returns the names of the running nodes, including this one. It returns
+	// another slice when they change.
 	Alive func() []string
 	// ReachableFraction returns the fraction of the membership that this node
 	// reaches, 0 to 1.
 	ReachableFraction func() float64
+	// Suspect reports whether no member reaches a running node. Nil means that
+	// this is never known.
+	Suspect func(node string) bool
 	// Limit returns the current rate, in tokens per second, and burst of a
 	// workspace.
 	Limit func(workspace string) (rate float64, burst int, ok bool)
@@ -101,8 +113,9 @@
 
 	shards [shardCount]shard
 	mu     sync.Mutex
-	// membersDigest is a digest of the running nodes, and membersChangedAt is
-	// when it last changed.
+	// members are the running nodes when last seen, membersDigest is a digest of
+	// them, and membersChangedAt is when that last changed.
+	members          []string
 	membersDigest    uint64
 	membersChangedAt time.Time
 	// avoidedUntil maps nodes that did not answer to the time until which they
@@ -166,7 +179,16 @@
 		}
 		l.avoid(node, time.Now())
 	}
-	return l.grant(q, time.Now())
+	return l.grantSelf(q, time.Now())
+}
+
+// grantSelf grants to this node's own requests: as the granting node, or else a
+// part of the rate as small as this node's part of the fleet.
+func (l *Limiter) grantSelf(q *Query, now time.Time) *Reply {
+	if node, _ := l.grantingNode(q.Workspace, now); node == l.Self {
+		return l.grant(q, now)
+	}
+	return l.grantFrom(q.Workspace, lastResortKeySuffix, 1/float64(lastResortDivisor*max(len(l.Alive()), 1)), now)
 }
 
 // queryNode queries one node, and retries at once if the link broke, since a new
@@ -203,7 +225,7 @@
 	defer l.mu.Unlock()
 	bestHash, highestHash := uint64(0), uint64(0)
 	for _, name := range l.Alive() {
-		hash := xxhash.Sum64String(name + "\n" + workspace)
+		hash := rankOf(name, workspace)
 		highestHash = max(highestHash, hash)
 		if until, ok := l.avoidedUntil[name]; ok && now.Before(until) {
 			continue
@@ -215,6 +237,17 @@
 	return node, bestHash < highestHash
 }
 
+// rankOf orders the nodes for a workspace. It builds no string, since it is called
+// for each running node.
+func rankOf(node, workspace string) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(node)
+	_, _ = d.WriteString("\n")
+	_, _ = d.WriteString(workspace)
+	return d.Sum64()
+}
+
 func (l *Limiter) avoid(node string, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -230,15 +263,39 @@
 }
 
 // grant takes a token from this node's own bucket. As a fallback for another
-// node it grants only a small fraction, since that node may still be granting.
+// node it grants only a fraction, since that node may still be granting.
 func (l *Limiter) grant(q *Query, now time.Time) *Reply {
-	rate, burst, ok := l.Limit(q.Workspace)
+	switch {
+	case !q.Fallback:
+		return l.grantFrom(q.Workspace, "", 1, now)
+	case l.Suspect != nil && l.Suspect(l.firstGrantingNode(q.Workspace)):
+		return l.grantFrom(q.Workspace, fallbackKeySuffix, suspectFraction, now)
+	}
+	return l.grantFrom(q.Workspace, fallbackKeySuffix, fallbackFraction, now)
+}
+
+// firstGrantingNode returns the running node with the highest hash for the
+// workspace.
+func (l *Limiter) firstGrantingNode(workspace string) (first string) {
+	highest := uint64(0)
+	for _, name := range l.Alive() {
+		if hash := rankOf(name, workspace); first == "" || hash > highest {
+			first, highest = name, hash
+		}
+	}
+	return first
+}
+
+// grantFrom takes a token from the bucket of a workspace with the suffix, which
+// has a fraction of the rate and burst.
+func (l *Limiter) grantFrom(workspace, suffix string, part float64, now time.Time) *Reply {
+	rate, burst, ok := l.Limit(workspace)
 	if !ok {
 		return &Reply{RetryAfter: time.Second}
 	}
-	fraction, maxInitial, key := l.ReachableFraction(), l.MaxInitialTokens(), q.Workspace
-	if q.Fallback {
-		fraction, maxInitial, key = fraction*fallbackFraction, 1, q.Workspace+fallbackKeySuffix
+	fraction, maxInitial, key := l.ReachableFraction()*part, l.MaxInitialTokens(), workspace+suffix
+	if suffix != "" {
+		maxInitial = 1
 	}
 	s := &l.shards[xxhash.Sum64String(key)%shardCount]
 	s.mu.Lock()
@@ -260,12 +317,17 @@
 // previous granting node may then still grant to nodes that do not know of the
 // change.
 func (l *Limiter) membershipChanging(now time.Time) bool {
+	names := l.Alive()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(names) > 0 && len(names) == len(l.members) && &names[0] == &l.members[0] {
+		return now.Sub(l.membersChangedAt) < membershipSettleTime
+	}
+	l.members = names
 	digest := uint64(0)
-	for _, name := range l.Alive() {
+	for _, name := range names {
 		digest += xxhash.Sum64String(name)
 	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
 	if l.membersDigest == 0 {
 		l.membersChangedAt = l.Started
 	} else if digest != l.membersDigest {
--- a/internal/softlimiter/softlimiter_test.go
+++ b/internal/softlimiter/softlimiter_test.go
@@ -10,6 +10,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	qt "github.com/frankban/quicktest"
 
 	"github.com/zinniaproxy/zinniaproxy/pkg/coder"
@@ -229,6 +230,56 @@
 	}
 }
 
+// Guards against excess grants while a third of the nodes reaches neither the
+// granting node of a hot workspace nor, in the second case, the next one: no
+// member ends, so that the granting node goes on for the others.
+func TestNodesCutOffFromGrantingNode(t *testing.T) {
+	for cut := 1; cut <= 2; cut++ {
+		synctest.Test(t, func(t *testing.T) {
+			c := newCluster(uint64(cut))
+			time.Sleep(10 * time.Second)
+			unreached := map[string]bool{}
+			for range cut {
+				first, best := "", uint64(0)
+				for j := range testNodes {
+					if h := xxhash.Sum64String(nodeName(j) + "\nglide"); h > best && !unreached[nodeName(j)] {
+						first, best = nodeName(j), h
+					}
+				}
+				unreached[first] = true
+			}
+			cutOff := 0
+			for i := 0; i < testNodes && cutOff < testNodes/3; i++ {
+				if unreached[nodeName(i)] {
+					continue
+				}
+				cutOff++
+				send := c.nodes[i].SendQuery
+				c.nodes[i].SendQuery = func(ctx context.Context, node string, q *Query) (*Reply, error) {
+					if unreached[node] {
+						<-ctx.Done()
+						return nil, ctx.Err()
+					}
+					return send(ctx, node, q)
+				}
+			}
+			for range 300 {
+				for range 12 {
+					go c.take(c.draw(testNodes))
+				}
+				time.Sleep(50 * time.Millisecond)
+				synctest.Wait()
+			}
+			time.Sleep(5 * time.Second)
+			allowed := int((testRate*testWindow.Seconds()+testBurst)*(1+testMaxExcessFraction)) + testExtraRequests
+			c.locked(func() {
+				t.Logf("%d nodes unreached: at most %d in a window, allowed %d", cut, c.maxGrantsInWindow(), allowed)
+				qt.Check(t, c.maxGrantsInWindow() <= allowed, qt.IsTrue)
+			})
+		})
+	}
+}
+
 // Guards against refused requests that all retry at once.
 func TestRetryAfterIsSpreadOut(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
