Bytes without end: bounded at link ports and behind callers' requests

Looked for: bytes that are no answer, or no end of one, in every part of an answer (15 forms, with kept and with new connections), of a request (7 forms) and of a link's handshake.

--- a/internal/framer/framer.go
+++ b/internal/framer/framer.go
@@ -55,13 +55,17 @@
 // and at most doubles once filled, so that a false length cannot make Read
 // allocate much more than the peer has sent. It returns io.EOF only if the
 // stream ends between frames.
-func Read(r io.Reader) (Frame, error) {
+func Read(r io.Reader) (Frame, error) { return ReadUpTo(r, MaxPayload) }
+
+// ReadUpTo is Read for a peer that may send no payload above maxPayload bytes, at
+// most MaxPayload: one that has not authenticated yet.
+func ReadUpTo(r io.Reader, maxPayload uint32) (Frame, error) {
 	var header [HeaderBytes]byte
 	if _, err := io.ReadFull(r, header[:]); err != nil {
 		return Frame{}, err
 	}
 	n := binary.BigEndian.Uint32(header[:])
-	if n < versionKindBytes || n > versionKindBytes+MaxPayload {
+	if n < versionKindBytes || n > versionKindBytes+min(maxPayload, MaxPayload) {
 		return Frame{}, fmt.Errorf("%w: %d", ErrLength, n)
 	}
 	if v := header[lengthBytes]; v != Version {
--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -18,9 +18,14 @@
 // runs, so that the next pipelined request can be read meanwhile.
 const maxBufferedBodyBytes = 256 << 10
 
-// lingerTimeout bounds how long a connection is read after its write side was
-// closed.
-const lingerTimeout = 500 * time.Millisecond
+// lingerTimeout and maxLingerBytes bound how long, and how much, a connection is
+// read after its write side was closed. maxDiscardedBytes bounds what is read
+// behind the last request while that runs; then a caller's bytes wait.
+const (
+	lingerTimeout     = 500 * time.Millisecond
+	maxLingerBytes    = 256 << 10
+	maxDiscardedBytes = 4 << 20
+)
 
 // errHeadTooLarge is returned by limitedReader when a request's head exceeds
 // the limit.
@@ -103,20 +108,21 @@
 	k.close()
 }
 
-// close closes the write side, reads until the caller closes too or
-// lingerTimeout passes, and closes the connection. Closing a connection with
+// close closes the write side, reads until the caller closes too, lingerTimeout
+// passes or maxLingerBytes are read, and closes the connection. Closing a connection with
 // unread bytes would reset it and could lose the end of the last response.
 func (k *conn) close() {
 	writeCloser, ok := k.netConn.(interface{ CloseWrite() error })
 	if ok && writeCloser.CloseWrite() == nil {
 		_ = k.netConn.SetReadDeadline(time.Now().Add(lingerTimeout))
-		_, _ = io.Copy(io.Discard, k.netConn)
+		_, _ = io.CopyN(io.Discard, k.netConn, maxLingerBytes)
 	}
 	k.netConn.Close()
 }
 
 // watchForDisconnect returns when the last response is written or the caller
-// has closed the connection. It discards what it reads.
+// has closed the connection. It discards what it reads, at most
+// maxDiscardedBytes.
 func (k *conn) watchForDisconnect(lastDone chan struct{}) {
 	readEnded := make(chan struct{})
 	_ = k.netConn.SetReadDeadline(time.Time{}) // must come before the deadline set on lastDone below
@@ -126,8 +132,9 @@
 		if k.ctx.Err() != nil {
 			return
 		}
-		_, err := io.Copy(io.Discard, k.in)
-		_ = err // any error means that the connection ended
+		if n, _ := io.CopyN(io.Discard, k.in, maxDiscardedBytes); n == maxDiscardedBytes {
+			<-lastDone
+		}
 	}()
 	select {
 	case <-lastDone:
--- a/internal/linker/handshake.go
+++ b/internal/linker/handshake.go
@@ -18,6 +18,9 @@
 	nonceBytes       = 16
 	handshakeTimeout = 2 * time.Second
 	readBufferBytes  = 8 << 10
+	// maxHandshakeBytes bounds the messages of a peer that has not proved that it
+	// knows the secret: a stranger gets no more memory.
+	maxHandshakeBytes = 4 << 10
 )
 
 // ErrWrongSecret is returned when the peer cannot prove that it knows the fleet's
@@ -69,7 +72,7 @@
 }
 
 func readMessage(reader *bufio.Reader, kind uint8, m any) error {
-	f, err := framer.Read(reader)
+	f, err := framer.ReadUpTo(reader, maxHandshakeBytes)
 	if err != nil {
 		return err
 	}
--- a/internal/linker/linker_test.go
+++ b/internal/linker/linker_test.go
@@ -13,6 +13,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/zinniaproxy/zinniaproxy/internal/faker"
+	"github.com/zinniaproxy/zinniaproxy/internal/framer"
 	"github.com/zinniaproxy/zinniaproxy/pkg/coder"
 )
 
@@ -239,3 +240,37 @@
 		}
 	})
 }
+
+// TestStrangerGetsLittleMemory has a stranger send bytes without end to the link
+// port: in a frame whose length is allowed on links, and in no frame. Its
+// connection must be closed after a few kilobytes, and others still be served.
+func TestStrangerGetsLittleMemory(t *testing.T) {
+	const maxAccepted = 64 << 10 // the handshake's limit, and the buffers between
+	for name, start := range map[string][]byte{
+		"a long frame": {0, 0x3f, 0xff, 0xff, framer.Version, kindHello},
+		"no frame":     bytes.Repeat([]byte{0xff}, 16),
+	} {
+		t.Run(name, func(t *testing.T) {
+			runWithFleet(t, func(t *testing.T, f *testFleet) {
+				a := f.start("a", "s", handleEcho)
+				f.start("b", "s", handleEcho)
+				conn, err := f.network.Dialer("stranger")(t.Context(), "b:1")
+				qt.Assert(t, err, qt.IsNil)
+				sent, begun := 0, time.Now()
+				for piece := start; time.Since(begun) < time.Minute; piece = make([]byte, 1024) {
+					n, err := conn.Write(piece)
+					if sent += n; err != nil {
+						break
+					}
+					time.Sleep(time.Millisecond)
+				}
+				qt.Check(t, sent <= maxAccepted, qt.IsTrue, qt.Commentf("%d bytes", sent))
+				qt.Check(t, time.Since(begun) <= handshakeTimeout+time.Second, qt.IsTrue, qt.Commentf("%v", time.Since(begun)))
+				got, err := sendQuery(t, a, "b", "there")
+				qt.Check(t, err, qt.IsNil)
+				qt.Check(t, got, qt.Equals, "there")
+				_ = conn.Close()
+			})
+		})
+	}
+}
