--- a/internal/picker/service.go
+++ b/internal/picker/service.go
@@ -22,9 +22,10 @@
 	// minRemoteFraction is the fraction of its weight that a target of another
 	// data centre gets while the own one has room.
 	minRemoteFraction = 0.02
-	// Above a load of spillStartLoad in the own data centre, the weights of the
-	// other ones rise, up to their full weight at spillFullLoad.
-	spillStartLoad, spillFullLoad = 0.5, 0.8
+	// Above a load of spillStartLoad in the own data centre, where calls begin to
+	// wait for slots, the weights of the other ones rise, up to their full weight
+	// at spillFullLoad.
+	spillStartLoad, spillFullLoad = 0.8, 1.2
 	// meanLoadSmoothing divides the step by which a report moves the mean load
 	// of its data centre.
 	meanLoadSmoothing = 16
