--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -60,6 +60,9 @@
 	initialStateTimeout      = 3 * time.Second
 	initialStatePollInterval = 20 * time.Millisecond
 	eventRingSize            = tracer.DefaultSize
+	// maxFailures is more than the controllers and servers that may fail, so that
+	// none of them waits for Run to read its error.
+	maxFailures = 64
 )
 
 // Platform is what a node needs from its environment. Tests use fakes.
@@ -195,7 +198,7 @@
 	defer stop()
 	var wg sync.WaitGroup
 	defer wg.Wait()
-	failed := make(chan error, 8)
+	failed := make(chan error, maxFailures)
 	for _, c := range n.controllers(links) {
 		wg.Go(func() {
 			if err := c.run(runCtx); err != nil {
@@ -210,9 +213,10 @@
 		return err
 	}
 	extra, err := n.serveExtra(&wg, failed)
+	others := append(extra, admin)
 	if err != nil {
 		stop()
-		return errors.Join(err, admin.server.Close())
+		return errors.Join(err, closeAll(others))
 	}
 	if n.Platform.FindTarget != nil {
 		wg.Go(func() { n.Platform.FindTarget(runCtx, n) })
@@ -223,14 +227,14 @@
 	callers, err := n.serveCallers(&wg, failed)
 	if err != nil {
 		stop()
-		return errors.Join(err, admin.server.Close())
+		return errors.Join(err, closeAll(others))
 	}
 	n.Platform.Log.Info("node started", "callers", n.Settings.Callers)
 	select {
 	case <-ctx.Done():
 	case err = <-failed:
 	}
-	err = errors.Join(err, n.shutdown(callers, append(extra, admin)))
+	err = errors.Join(err, n.shutdown(callers, others))
 	n.TargetSender.Close()
 	stop()
 	return err
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -83,7 +83,8 @@
 	return as, nil
 }
 
-// serveExtra starts the servers of Platform.ExtraServers.
+// serveExtra starts the servers of Platform.ExtraServers. With an error it returns
+// those that it has started.
 func (n *Node) serveExtra(wg *sync.WaitGroup, failed chan<- error) ([]*auxServer, error) {
 	if n.Platform.ExtraServers == nil {
 		return nil, nil
@@ -92,13 +93,22 @@
 	for _, es := range n.Platform.ExtraServers(n) {
 		as, err := n.serve(es.Address, es.Handler, wg, failed)
 		if err != nil {
-			return nil, err
+			return servers, err
 		}
 		servers = append(servers, as)
 	}
 	return servers, nil
 }
 
+// closeAll closes servers at once.
+func closeAll(servers []*auxServer) (err error) {
+	for _, as := range servers {
+		as.closed.Store(true)
+		err = errors.Join(err, as.server.Close())
+	}
+	return err
+}
+
 // shutdown stops the server once its requests have ended, or at the timeout.
 func (as *auxServer) shutdown(timeout time.Duration) error {
 	ctx, stop := context.WithTimeout(context.Background(), timeout)
