--- a/internal/recorder/ownership.go
+++ b/internal/recorder/ownership.go
@@ -133,6 +133,9 @@
 	s.records, s.segments, s.answerBytes = records, segments, 0
 	s.dirty, s.headRecords = map[keyDigest]*record{}, map[keyDigest]*record{}
 	for _, sr := range h.Records {
+		if len(sr.KeyDigest) != keyDigestBytes {
+			continue // addStored has left it out too
+		}
 		s.headRecords[keyDigest(sr.KeyDigest)] = records[keyDigest(sr.KeyDigest)]
 	}
 	s.outage, s.storedOutage = max(res.outage, h.StoredOutage), h.StoredOutage
--- a/internal/recorder/recorder_test.go
+++ b/internal/recorder/recorder_test.go
@@ -217,3 +217,15 @@
 	d := digestKey("w", key)
 	return d[:]
 }
+
+// A record with a short key in a stored head, as another program may write it,
+// must not end the process.
+func TestShortKeyInStoredHeadIsIgnored(t *testing.T) {
+	r := New("a")
+	s := newShard(r, 0)
+	h := head{Owner: "a", Records: []storedRecord{{KeyDigest: []byte{1}}}}
+	records := map[keyDigest]*record{}
+	s.addStored(records, h.Records, time.Now())
+	s.becomeOwner(h, 1, records, nil, voteResult{})
+	qt.Check(t, s.headRecords, qt.HasLen, 0)
+}
