--- a/internal/exithandler/endless_test.go
+++ b/internal/exithandler/endless_test.go
@@ -32,15 +32,7 @@
 	closedAt atomic.Pointer[time.Time]
 }
 
-func (t *endlessTarget) serve(ln net.Listener) {
-	for {
-		conn, err := ln.Accept()
-		if err != nil {
-			return
-		}
-		go t.serveConn(conn)
-	}
-}
+func (t *endlessTarget) serve(ln net.Listener) { serveEach(ln, t.serveConn) }
 
 func (t *endlessTarget) serveConn(c net.Conn) {
 	defer c.Close()
--- a/internal/exithandler/sender_test.go
+++ b/internal/exithandler/sender_test.go
@@ -30,13 +30,16 @@
 	behavior func() string
 }
 
-func (t *rawTarget) serve(ln net.Listener) {
+func (t *rawTarget) serve(ln net.Listener) { serveEach(ln, t.serveConn) }
+
+// serveEach runs serve on each connection until the listener is closed.
+func serveEach(ln net.Listener, serve func(net.Conn)) {
 	for {
 		conn, err := ln.Accept()
 		if err != nil {
 			return
 		}
-		go t.serveConn(conn)
+		go serve(conn)
 	}
 }
 
--- a/internal/prober/prober.go
+++ b/internal/prober/prober.go
@@ -435,8 +435,8 @@
 
 func sortBy[T any](list []T, by func(a, b T) int) { slices.SortFunc(list, by) }
 
-// pickNearby returns up to n random members of list, all but one of them of this
-// node's data centre as far as there are enough.
+// pickNearby returns up to n random members of list: all but one of them, and the
+// only one, of this node's data centre as far as there are enough.
 func (p *Prober) pickNearby(list []*memberEntry, n int) []*memberEntry {
 	var near, remote []*memberEntry
 	for _, e := range pickRandom(list, len(list), "") {
@@ -446,7 +446,7 @@
 			remote = append(remote, e)
 		}
 	}
-	nearCount := min(max(n-1, n-len(remote)), len(near))
+	nearCount := min(max(n-1, n-len(remote), 1), len(near))
 	return append(near[:nearCount], remote[:min(n-nearCount, len(remote))]...)
 }
 
--- a/internal/prober/storm_test.go
+++ b/internal/prober/storm_test.go
@@ -23,6 +23,18 @@
 	})
 }
 
+// startAtOnce starts n nodes at once, which then read the records.
+func startAtOnce(t *testing.T, nw *fakeNetwork, n int) (nodes []*testNode) {
+	for i := range n {
+		nodes = append(nodes, startStorming(t, nw, i))
+	}
+	time.Sleep(200 * time.Millisecond)
+	for _, node := range nodes {
+		node.SetRecorded(recordsOf(nodes))
+	}
+	return nodes
+}
+
 // lateRecords is at most how many nodes write their record after the others read
 // the records.
 const lateRecords = 15
@@ -48,14 +60,7 @@
 	}
 	for _, n := range sizes {
 		inVirtualTime(t, func(t *testing.T, c *qt.C, nw *fakeNetwork) {
-			var nodes []*testNode
-			for i := range n {
-				nodes = append(nodes, startStorming(t, nw, i))
-			}
-			time.Sleep(200 * time.Millisecond)
-			for _, node := range nodes {
-				node.SetRecorded(recordsOf(nodes))
-			}
+			nodes := startAtOnce(t, nw, n)
 			checkStorm(t, c, nodes, n, 4)
 		})
 	}
@@ -68,14 +73,7 @@
 	const n = 355
 	restarts := func(i int) bool { return i/centreCount%5 < 3 }
 	inVirtualTime(t, func(t *testing.T, c *qt.C, nw *fakeNetwork) {
-		var nodes []*testNode
-		for i := range n {
-			nodes = append(nodes, startStorming(t, nw, i))
-		}
-		time.Sleep(200 * time.Millisecond)
-		for _, node := range nodes {
-			node.SetRecorded(recordsOf(nodes))
-		}
+		nodes := startAtOnce(t, nw, n)
 		waitUntil(t, 30*time.Second, func() bool { return allSeeAlive(nodes, n) })
 		time.Sleep(20 * time.Second)
 		for i := range nodes {
@@ -135,14 +133,7 @@
 func TestSourceReaders(t *testing.T) {
 	for _, n := range []int{27, 120, 355} {
 		inVirtualTime(t, func(t *testing.T, c *qt.C, nw *fakeNetwork) {
-			var nodes []*testNode
-			for i := range n {
-				nodes = append(nodes, startStorming(t, nw, i))
-			}
-			time.Sleep(200 * time.Millisecond)
-			for _, node := range nodes {
-				node.SetRecorded(recordsOf(nodes))
-			}
+			nodes := startAtOnce(t, nw, n)
 			waitUntil(t, 10*time.Second, func() bool { return allSeeAlive(nodes, n) })
 			byCentre := map[string]int{}
 			for _, node := range nodes {
