--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -30,8 +30,7 @@
 	// coldBurstSeconds is the burst at a cold target, in seconds of its rate.
 	coldBurstSeconds = 0.5
 	// maxColdWait bounds how long a call waits until its start keeps the rate of
-	// a cold target. Calls come at random, and refusing each that is early would
-	// refuse a third at half of the rate.
+	// a cold target.
 	maxColdWait = 250 * time.Millisecond
 	// targetRetention is how long a target is kept after its last announcement.
 	targetRetention = time.Minute
@@ -298,6 +297,9 @@
 		return nil
 	case <-ctx.Done():
 		r.Cancel()
+		if ctx.Err() == context.DeadlineExceeded {
+			return coder.New(coder.DeadlineBefore, "while waiting for the rate of a cold target")
+		}
 		return coder.New(coder.Canceled, "while waiting for the rate of a cold target")
 	}
 }
--- a/internal/admitter/admitter_test.go
+++ b/internal/admitter/admitter_test.go
@@ -14,6 +14,7 @@
 	"github.com/zinniaproxy/zinniaproxy/internal/detector"
 	"github.com/zinniaproxy/zinniaproxy/internal/exithandler"
 	"github.com/zinniaproxy/zinniaproxy/internal/messenger"
+	"github.com/zinniaproxy/zinniaproxy/pkg/coder"
 )
 
 // The limit of a target grows with its calls and is published in steps. It goes
@@ -134,3 +135,28 @@
 		qt.Check(t, late.Load() <= calls/20, qt.IsTrue, qt.Commentf("%d late", late.Load()))
 	})
 }
+
+// A call whose deadline passes while it waits for the rate of a cold target has
+// not run, and is told so.
+func TestDeadlineWhileWaitingForColdRate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		target := messenger.Target{Name: "t", Service: "s", Epoch: 1, Slots: 50, State: messenger.Cold}
+		a := &Admitter{
+			ColdLimit: func(string) int { return 50 }, CentreOut: func() bool { return false }, ColdRate: func(string) float64 { return 5 },
+			Detector: &detector.Detector{}, RefreshVerdicts: func() {},
+		}
+		a.ApplyVerdict(target)
+		ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+		defer cancel()
+		deadline, _ := ctx.Deadline()
+		for {
+			release, err := a.Acquire(ctx, &exithandler.Job{Call: &messenger.Call{}, Target: target, Deadline: deadline})
+			if err != nil {
+				qt.Check(t, coder.Of(err).Code, qt.Equals, coder.DeadlineBefore)
+				qt.Check(t, coder.Of(err).Ran(), qt.Equals, coder.RanNo)
+				return
+			}
+			release(exithandler.Outcome{Result: exithandler.Good})
+		}
+	})
+}
--- a/internal/configurer/source.go
+++ b/internal/configurer/source.go
@@ -17,7 +17,7 @@
 	// maxJoinedRetryDelay on one that has peers.
 	minSourceRetryDelay = 250 * time.Millisecond
 	maxSourceRetryDelay = time.Second
-	maxJoinedRetryDelay = 4 * time.Second
+	maxJoinedRetryDelay = 2 * time.Second
 	// readerCheckInterval is the mean interval at which a node that does not read
 	// from the source checks whether it should.
 	readerCheckInterval = 500 * time.Millisecond
@@ -56,11 +56,16 @@
 		case <-ctx.Done():
 		case <-time.After(delay/2 + rand.N(delay)):
 		}
-		delay = min(2*delay, maxSourceRetryDelay)
-		if len(c.Peers()) > 0 {
-			delay = min(2*delay, maxJoinedRetryDelay)
-		}
+		delay = min(2*delay, c.maxRetryDelay())
+	}
+}
+
+// maxRetryDelay returns the longest mean delay after a failure of the source.
+func (c *Configurer) maxRetryDelay() time.Duration {
+	if len(c.Peers()) > 0 {
+		return maxJoinedRetryDelay
 	}
+	return maxSourceRetryDelay
 }
 
 // isSourceReader reports whether this node reads from the source. If it does not,
--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -109,8 +109,9 @@
 }
 
 // close closes the write side, reads until the caller closes too, lingerTimeout
-// passes or maxLingerBytes are read, and closes the connection. Closing a connection with
-// unread bytes would reset it and could lose the end of the last response.
+// passes or maxLingerBytes are read, and closes the connection. Closing a
+// connection with unread bytes would reset it and could lose the end of the last
+// response.
 func (k *conn) close() {
 	writeCloser, ok := k.netConn.(interface{ CloseWrite() error })
 	if ok && writeCloser.CloseWrite() == nil {
@@ -132,7 +133,8 @@
 		if k.ctx.Err() != nil {
 			return
 		}
-		if n, _ := io.CopyN(io.Discard, k.in, maxDiscardedBytes); n == maxDiscardedBytes {
+		// Any error means that the connection ended.
+		if _, err := io.CopyN(io.Discard, k.in, maxDiscardedBytes); err == nil {
 			<-lastDone
 		}
 	}()
--- a/internal/prober/member.go
+++ b/internal/prober/member.go
@@ -1,7 +1,6 @@
 package prober
 
 import (
-	"cmp"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -216,61 +215,6 @@
 	return xxhash.Sum64String(m.Name) + m.Epoch
 }
 
-// memberList returns the current snapshot. The caller holds the lock.
-func (p *Prober) memberList() *memberList {
-	if p.snapshot == nil {
-		p.rebuild()
-	}
-	return p.snapshot
-}
-
-// memberList is an immutable snapshot of all members, including this node.
-type memberList struct {
-	members []Member
-	// alive holds the sorted names of running members that are not leaving, and
-	// aliveByCentre the same by data centre.
-	alive         []string
-	aliveByCentre map[string][]string
-	// peers holds the running members other than this node, sorted by name.
-	peers []*memberEntry
-}
-
-// rebuild makes a new snapshot. The caller holds the lock.
-func (p *Prober) rebuild() {
-	l := &memberList{members: make([]Member, 0, len(p.members)+1), aliveByCentre: map[string][]string{}}
-	l.add(Member{Node: p.self, State: p.selfState, Direct: true})
-	for _, e := range p.members {
-		l.add(e.Member)
-		if e.Up() {
-			l.peers = append(l.peers, e)
-		}
-	}
-	sortBy(l.members, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
-	sortBy(l.peers, func(a, b *memberEntry) int { return cmp.Compare(a.Name, b.Name) })
-	sortBy(l.alive, cmp.Compare[string])
-	for _, names := range l.aliveByCentre {
-		sortBy(names, cmp.Compare[string])
-	}
-	p.snapshot = l
-}
-
-func (l *memberList) add(m Member) {
-	l.members = append(l.members, m)
-	if !m.Up() {
-		return
-	}
-	if !m.Leaving {
-		l.alive = append(l.alive, m.Name)
-		l.aliveByCentre[m.Centre] = append(l.aliveByCentre[m.Centre], m.Name)
-	}
-}
-
-// aliveNames returns the sorted names of running members that are not leaving.
-// The caller holds the lock.
-func (p *Prober) aliveNames() []string {
-	return p.memberList().alive
-}
-
 const (
 	// startupPeriod is how long after its start a process also pings and counts
 	// recorded nodes that are not members yet: the whole fleet may just have
--- a/internal/prober/probe.go
+++ b/internal/prober/probe.go
@@ -107,8 +107,7 @@
 			remote = append(remote, r)
 		}
 	}
-	nearCount := min(max(fanout-1, fanout-len(remote)), len(near))
-	for _, r := range append(near[:nearCount], remote[:min(fanout-nearCount, len(remote))]...) {
+	for _, r := range mostlyNear(near, remote, fanout) {
 		p.pingRecorded(r, now)
 	}
 }
--- a/internal/prober/prober.go
+++ b/internal/prober/prober.go
@@ -12,7 +12,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -332,50 +331,6 @@
 	}
 }
 
-// Members returns all known members, including this node, sorted by name. The
-// slice is shared: do not change it.
-func (p *Prober) Members() []Member {
-	return p.lockedMemberList().members
-}
-
-// Alive returns the sorted names of the running members that are not leaving,
-// including this node. The slice is shared: do not change it.
-func (p *Prober) Alive() []string {
-	return p.lockedMemberList().alive
-}
-
-// AliveByCentre returns the names of Alive by their data centre, sorted. The map
-// and the slices are shared: do not change them.
-func (p *Prober) AliveByCentre() map[string][]string {
-	return p.lockedMemberList().aliveByCentre
-}
-
-// lockedMemberList takes the lock and returns the current snapshot.
-func (p *Prober) lockedMemberList() *memberList {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.init()
-	return p.memberList()
-}
-
-// Member returns the member with a name, and whether it is known.
-func (p *Prober) Member(name string) (Member, bool) {
-	list := p.lockedMemberList()
-	i, ok := slices.BinarySearchFunc(list.members, name, func(m Member, n string) int {
-		if m.Name < n {
-			return -1
-		}
-		if m.Name > n {
-			return 1
-		}
-		return 0
-	})
-	if !ok {
-		return Member{}, false
-	}
-	return list.members[i], true
-}
-
 // Replaced reports whether a later process runs under this node's name.
 func (p *Prober) Replaced() bool {
 	p.mu.Lock()
@@ -432,35 +387,3 @@
 		}
 	})
 }
-
-func sortBy[T any](list []T, by func(a, b T) int) { slices.SortFunc(list, by) }
-
-// pickNearby returns up to n random members of list: all but one of them, and the
-// only one, of this node's data centre as far as there are enough.
-func (p *Prober) pickNearby(list []*memberEntry, n int) []*memberEntry {
-	var near, remote []*memberEntry
-	for _, e := range pickRandom(list, len(list), "") {
-		if e.Centre == p.self.Centre {
-			near = append(near, e)
-		} else {
-			remote = append(remote, e)
-		}
-	}
-	nearCount := min(max(n-1, n-len(remote), 1), len(near))
-	return append(near[:nearCount], remote[:min(n-nearCount, len(remote))]...)
-}
-
-// pickRandom returns up to n random members of list other than the one named
-// skip.
-func pickRandom(list []*memberEntry, n int, skip string) []*memberEntry {
-	var out []*memberEntry
-	for _, i := range rand.Perm(len(list)) {
-		if len(out) == n {
-			break
-		}
-		if list[i].Name != skip {
-			out = append(out, list[i])
-		}
-	}
-	return out
-}
