softlimiter: the choice of the granting node stands once

grantingNode and the search for the first one walked the running nodes by the same rule; firstRanked does, and avoided nodes are left out only if the first is one.

--- a/internal/configurer/configurer.go
+++ b/internal/configurer/configurer.go
@@ -75,8 +75,9 @@
 	// ExpectPeers is true when other nodes should be discovered after the start.
 	ExpectPeers bool
 	// DeclarationSource waits for a declaration with a higher number than after
-	// and returns it, or after a while a zero one if there is none. It replaces the head and parts in the store where
-	// operators keep their declaration elsewhere. Nil means the store.
+	// and returns it, or after a while a zero one if there is none. It replaces
+	// the head and parts in the store where operators keep their declaration
+	// elsewhere. Nil means the store.
 	DeclarationSource func(ctx context.Context, after uint64) (NumberedDeclaration, error)
 	// SourceReader reports whether this node reads changes from the source for
 	// the others. Every node reads the first declaration itself. Nil means that
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -92,8 +92,8 @@
 	// with callers and targets. The zero value means exithandler.OwnDialect.
 	Dialect exithandler.Dialect
 	// DeclarationSource waits for a declaration with a number above after and
-	// returns it, or after a while a zero one, if operators keep it elsewhere than as a head and parts in
-	// Store. Nil means the store.
+	// returns it, or after a while a zero one, if operators keep it elsewhere
+	// than as a head and parts in Store. Nil means the store.
 	DeclarationSource func(ctx context.Context, after uint64) (configurer.NumberedDeclaration, error)
 	// FindTarget looks for the target on this VM until it is found or announces
 	// itself, so that a restarted node serves it at once. It may be nil.
--- a/internal/softlimiter/softlimiter.go
+++ b/internal/softlimiter/softlimiter.go
@@ -12,6 +12,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -217,24 +218,36 @@
 	return l.grant(q, time.Now()), nil
 }
 
-// grantingNode returns the running node with the highest hash for the workspace,
+// grantingNode returns the running node with the highest rank for the workspace,
 // leaving out nodes that recently did not answer. Fallback reports whether the
-// node with the highest hash was left out.
+// first one was left out.
 func (l *Limiter) grantingNode(workspace string, now time.Time) (node string, fallback bool) {
+	names := l.Alive()
+	first := firstRanked(names, workspace)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	bestHash, highestHash := uint64(0), uint64(0)
-	for _, name := range l.Alive() {
-		hash := rankOf(name, workspace)
-		highestHash = max(highestHash, hash)
-		if until, ok := l.avoidedUntil[name]; ok && now.Before(until) {
-			continue
-		}
-		if node == "" || hash > bestHash {
-			node, bestHash = name, hash
+	if !l.avoids(first, now) {
+		return first, false
+	}
+	answering := slices.DeleteFunc(slices.Clone(names), func(name string) bool { return l.avoids(name, now) })
+	return firstRanked(answering, workspace), true
+}
+
+// avoids reports whether a node did not answer recently. The caller holds the lock.
+func (l *Limiter) avoids(node string, now time.Time) bool {
+	until, ok := l.avoidedUntil[node]
+	return ok && now.Before(until)
+}
+
+// firstRanked returns the name with the highest rank for the workspace, or "".
+func firstRanked(names []string, workspace string) (first string) {
+	highest := uint64(0)
+	for _, name := range names {
+		if rank := rankOf(name, workspace); first == "" || rank > highest {
+			first, highest = name, rank
 		}
 	}
-	return node, bestHash < highestHash
+	return first
 }
 
 // rankOf orders the nodes for a workspace. It builds no string, since it is called
@@ -268,24 +281,12 @@
 	switch {
 	case !q.Fallback:
 		return l.grantFrom(q.Workspace, "", 1, now)
-	case l.Suspect != nil && l.Suspect(l.firstGrantingNode(q.Workspace)):
+	case l.Suspect != nil && l.Suspect(firstRanked(l.Alive(), q.Workspace)):
 		return l.grantFrom(q.Workspace, fallbackKeySuffix, suspectFraction, now)
 	}
 	return l.grantFrom(q.Workspace, fallbackKeySuffix, fallbackFraction, now)
 }
 
-// firstGrantingNode returns the running node with the highest hash for the
-// workspace.
-func (l *Limiter) firstGrantingNode(workspace string) (first string) {
-	highest := uint64(0)
-	for _, name := range l.Alive() {
-		if hash := rankOf(name, workspace); first == "" || hash > highest {
-			first, highest = name, hash
-		}
-	}
-	return first
-}
-
 // grantFrom takes a token from the bucket of a workspace with the suffix, which
 // has a fraction of the rate and burst.
 func (l *Limiter) grantFrom(workspace, suffix string, part float64, now time.Time) *Reply {
