exithandler: log and count what targets state in their responses

Two header fields state how many calls per second a target accepts and that it leaves. Nothing decides by them yet.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -49,6 +49,8 @@
 	slots int
 	// publishedLimit is the limit that was last published to the fleet.
 	publishedLimit int
+	// statement is what the target last stated about itself in a response.
+	statement messenger.Statement
 	// verdictAppliedAt is the time of the last call of ApplyVerdict.
 	verdictAppliedAt time.Time
 }
--- a/internal/exithandler/dialect.go
+++ b/internal/exithandler/dialect.go
@@ -22,6 +22,10 @@
 	// OriginHeader is the header field for the service on whose VM the request
 	// began.
 	OriginHeader string
+	// RateHeader and LeavingHeader are the header fields in which a target's
+	// response states how many requests per second the target accepts from the
+	// whole fleet, a decimal number, and, by the value 1, that it is leaving.
+	RateHeader, LeavingHeader string
 	// CallerSetsID is true when callers set the IDs of their requests, in
 	// RequestIDHeader.
 	CallerSetsID bool
@@ -46,6 +50,7 @@
 func OwnDialect() Dialect {
 	return Dialect{
 		RequestIDHeader: RequestHeader, TimeoutHeader: TimeoutHeader, WorkspaceHeader: WorkspaceHeader, ResultHeaders: true,
+		RateHeader: RateHeader, LeavingHeader: LeavingHeader,
 		NotRun: func(status int, h http.Header) bool {
 			return status == http.StatusServiceUnavailable && h.Get(RanHeader) == string(coder.RanNo)
 		},
--- a/internal/exithandler/sender.go
+++ b/internal/exithandler/sender.go
@@ -26,6 +26,9 @@
 	RequestHeader   = "Zinnia-Request"
 	WorkspaceHeader = "Zinnia-Workspace"
 	TimeoutHeader   = "Zinnia-Timeout"
+	// RateHeader and LeavingHeader are Dialect.RateHeader and LeavingHeader.
+	RateHeader    = "Zinnia-Rate"
+	LeavingHeader = "Zinnia-Leaving"
 )
 
 const (
@@ -45,6 +48,9 @@
 	Echo func(service string) bool
 	// Dialect defines the HTTP interface to targets.
 	Dialect Dialect
+	// ObserveStatement is called with what each response states about its target,
+	// and when the call was sent. Nil drops it.
+	ObserveStatement func(t messenger.Target, sent time.Time, s messenger.Statement)
 
 	setupOnce        sync.Once
 	pooled, unpooled *http.Transport
@@ -105,7 +111,7 @@
 		return s.classifyNoResponse(ctx, j, g, err)
 	}
 	defer res.Body.Close()
-	return s.relay(ctx, j, res)
+	return s.relay(ctx, j, res, start)
 }
 
 // classifyNoResponse sets the result of a call that got no response head and
@@ -178,11 +184,16 @@
 	return req, nil
 }
 
-// relay validates a response and passes it to j.Response, or returns a refusal.
-func (s *Sender) relay(ctx context.Context, j *Job, res *http.Response) error {
+// relay validates the response to a call sent at a time and passes it to
+// j.Response, or returns a refusal.
+func (s *Sender) relay(ctx context.Context, j *Job, res *http.Response, sent time.Time) error {
 	if !s.matchesRequest(j, res.Header.Get(s.Dialect.RequestIDHeader)) {
 		return s.classifyInterrupted(ctx, j, errors.New("response names another request"))
 	}
+	// A misdirected request was answered by another process than the target's.
+	if s.ObserveStatement != nil && res.StatusCode != http.StatusMisdirectedRequest {
+		s.ObserveStatement(j.Target, sent, s.Dialect.statement(res.Header))
+	}
 	if s.Dialect.NotRun(res.StatusCode, res.Header) {
 		j.Outcome.Result = Shed
 		return coder.New(coder.Shed, "%s", j.Target.Name).WithAfter(parseRetryAfter(res.Header))
--- a/internal/measurer/table.go
+++ b/internal/measurer/table.go
@@ -25,6 +25,7 @@
 	{"queue.flying", "calls", "run at targets of this node now"},
 	{"targets.known", "targets", "this node knows now"},
 	{"targets.sound", "targets", "of these are chosen freely; the others are ejected or recovering"},
+	{"targets.limited", "targets", "of this node state how many calls per second they accept"},
 	{"nodes.alive", "nodes", "this node takes to be running now"},
 	{"configuration.number", "number", "of the configuration in force"},
 	{"retry.sent", "attempts", "beyond the first of a request"},
--- a/internal/messenger/target.go
+++ b/internal/messenger/target.go
@@ -82,6 +82,18 @@
 	Score float64
 }
 
+// Statement is what a target states about itself in a response.
+type Statement struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
+	// Limited means that the target accepts only Rate calls per second from the
+	// whole fleet, until a later response states otherwise.
+	Limited bool
+	Rate    float64
+	// Leaving means that the target ends soon and must get no new calls.
+	Leaving bool
+}
+
 // AcceptsCalls reports whether the target accepts new calls: it is not draining.
 func (t Target) AcceptsCalls() bool { return t.State != Draining }
 
--- a/internal/node/provide.go
+++ b/internal/node/provide.go
@@ -54,7 +54,7 @@
 }
 
 func newTargetSender(p Platform, a *admitter.Admitter, cfg *configurer.Configurer) *exithandler.Sender {
-	return &exithandler.Sender{Dial: p.Dial, Load: a.Load, Dialect: p.dialect(), Echo: func(service string) bool {
+	return &exithandler.Sender{Dial: p.Dial, Load: a.Load, Dialect: p.dialect(), ObserveStatement: a.ObserveStatement, Echo: func(service string) bool {
 		svc := serviceByName(cfg, service)
 		return svc != nil && svc.Echo
 	}}
