--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"strings"
@@ -48,7 +49,13 @@
 	sick     map[string]bool // targets that fail every request
 	// draining are the targets that announce the state draining.
 	draining map[string]bool
-	cleanups []func()
+	// statements are header fields that targets add to their responses.
+	statements map[string]http.Header
+	// arrivals are the times of the requests, by target.
+	arrivals map[string][]time.Time
+	// sharedRates starts nodes with settingsloader.RatesShared.
+	sharedRates bool
+	cleanups    []func()
 	// idempotencyKey is sent with the next calls unless empty.
 	idempotencyKey string
 	// log receives the log lines of nodes that start after it is set. Nil drops
@@ -65,6 +72,7 @@
 	f := &testFleet{
 		t: t, network: faker.NewNetwork(linkDelay), store: faker.NewStore(), names: names,
 		nodes: map[string]*runningNode{}, requests: map[string][]string{}, sick: map[string]bool{}, draining: map[string]bool{},
+		statements: map[string]http.Header{}, arrivals: map[string][]time.Time{},
 	}
 	return f
 }
@@ -100,6 +108,9 @@
 		Name: name, Centre: centre, Region: "test", Address: name,
 		Callers: name + ":80", Link: name + ":81", Admin: name + ":82", Secret: "secret",
 	}
+	if f.sharedRates {
+		s.Rates = settingsloader.RatesShared
+	}
 	for _, n := range f.names {
 		s.Seeds = append(s.Seeds, n+"="+n+":81")
 	}
@@ -207,6 +218,7 @@
 	body, _ := io.ReadAll(r.Body)
 	f.mu.Lock()
 	f.requests[name] = append(f.requests[name], fmt.Sprintf("%s %s %v %s", r.Method, r.URL, r.Header, body))
+	f.arrivals[name] = append(f.arrivals[name], time.Now())
 	sick := f.sick[name]
 	f.mu.Unlock()
 	switch {
@@ -221,6 +233,7 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 	case strings.HasSuffix(r.URL.Path, "/slow"):
 		time.Sleep(slowTargetLatency)
+		f.addStatement(name, w)
 	case strings.HasSuffix(r.URL.Path, "/hang"):
 		<-r.Context().Done()
 		f.mu.Lock()
@@ -233,6 +246,13 @@
 	}
 }
 
+// addStatement adds what a target states about itself to a response.
+func (f *testFleet) addStatement(name string, w http.ResponseWriter) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	maps.Copy(w.Header(), f.statements[name])
+}
+
 // call sends a request to a node and returns a line that describes the response.
 func (f *testFleet) call(c *http.Client, node, method, path, key, body string) string {
 	req, err := http.NewRequestWithContext(f.t.Context(), method, "http://"+node+":80"+path, strings.NewReader(body))
