admitter: the exit node keeps the rate that its target states

Cause: nothing read the rate. The exit admits by slots, verdicts and the limits of cold targets; the target answers well, so none of these sees its need. Evidence: every exit logged target-limited within 6 ms to 5 s of the first response and went on as before; 4226 call-sent for 4226 arrivals, so no call passes by the exit.

Why this works: all calls for a target pass one exit node, so a token bucket there is the limit over the whole fleet, in one place and without messages. It covers hedges, retries and calls of targets. Load reports carry the wait for a token and the directory the rate, so that entries send elsewhere while others have room.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -1,6 +1,7 @@
 // Package admitter controls, at an exit node, which calls may start at the
 // targets of its VM. For each target it keeps a queue for its slots, a limit of
-// calls in flight and, while the target is cold, a limit of calls per second. It
+// calls in flight and, while the target is cold or states a rate, a limit of calls
+// per second. It
 // reports the outcomes of calls to the outlier detector and the circuit breaker.
 package admitter
 
@@ -9,8 +10,6 @@
 	"sync"
 	"time"
 
-	"golang.org/x/time/rate"
-
 	"github.com/zinniaproxy/zinniaproxy/internal/breaker"
 	"github.com/zinniaproxy/zinniaproxy/internal/detector"
 	"github.com/zinniaproxy/zinniaproxy/internal/exithandler"
@@ -27,11 +26,6 @@
 	// limitStepDivisor sets the smallest change of a limit that is published: the
 	// number of slots divided by it.
 	limitStepDivisor = 4
-	// coldBurstSeconds is the burst at a cold target, in seconds of its rate.
-	coldBurstSeconds = 0.5
-	// maxColdWait bounds how long a call waits until its start keeps the rate of
-	// a cold target.
-	maxColdWait = 250 * time.Millisecond
 	// targetRetention is how long a target is kept after its last announcement.
 	targetRetention = time.Minute
 )
@@ -41,16 +35,22 @@
 	queue queuer.Queuer
 	ramp  ramper.Ramper
 
-	// coldLimiter limits the calls that start per second while the target is cold.
-	coldLimiter *rate.Limiter
+	// coldPacer limits the calls that start per second while the target is cold,
+	// statedPacer while it states a rate.
+	coldPacer, statedPacer pacer
 
 	// The fields below are guarded by Admitter.mu.
 	epoch uint64
 	slots int
 	// publishedLimit is the limit that was last published to the fleet.
 	publishedLimit int
-	// statement is what the target last stated about itself in a response.
+	// statement is what the target last stated about itself in a response, and
+	// limitedAt when a response last stated a rate.
 	statement messenger.Statement
+	limitedAt time.Time
+	// publishedRate is the stated rate that was last published to the fleet, 0
+	// for none.
+	publishedRate float64
 	// verdictAppliedAt is the time of the last call of ApplyVerdict.
 	verdictAppliedAt time.Time
 }
@@ -93,7 +93,7 @@
 	defer a.mu.Unlock()
 	s := a.targets[t.Name]
 	if s == nil || s.epoch != t.Epoch {
-		s = &targetState{epoch: t.Epoch, coldLimiter: rate.NewLimiter(rate.Inf, 1)}
+		s = &targetState{epoch: t.Epoch}
 		s.queue.Limit = s.ramp.Limit
 		if a.targets == nil {
 			a.targets = map[string]*targetState{}
@@ -101,13 +101,16 @@
 		a.targets[t.Name] = s
 	}
 	s.slots, s.verdictAppliedAt = t.Slots, time.Now()
-	s.setColdRate(a.coldRate(t))
+	s.coldPacer.setRate(a.coldRate(t))
 	s.ramp.Announce(t.State, t.Slots, cold)
 	a.Detector.Watch(t, cold)
 	if s.limitChanged() {
 		s.publishedLimit = s.ramp.Limit()
 	}
-	t.Limit = s.publishedLimit
+	if s.rateChanged() {
+		s.publishedRate = s.statedRate()
+	}
+	t.Limit, t.Rate = s.publishedLimit, s.publishedRate
 	t.Trust, t.Score = a.Detector.Trust(t.Name)
 	return t
 }
@@ -121,17 +124,6 @@
 	return a.ColdRate(t.Service)
 }
 
-// setColdRate sets the limit of calls per second; 0 means none. The burst is half
-// of a second's calls, so that no second exceeds the limit by more than half.
-func (s *targetState) setColdRate(perSecond float64) {
-	if perSecond <= 0 {
-		s.coldLimiter.SetLimit(rate.Inf)
-		return
-	}
-	s.coldLimiter.SetLimit(rate.Limit(perSecond))
-	s.coldLimiter.SetBurst(max(int(perSecond*coldBurstSeconds), 1))
-}
-
 // limitChanged reports whether the limit must be published again: it moved by
 // at least one step, or reached the number of slots.
 func (s *targetState) limitChanged() bool {
@@ -185,7 +177,7 @@
 			delete(a.targets, name)
 			a.Detector.Drop(name)
 		}
-		changed = changed || s.limitChanged()
+		changed = changed || s.limitChanged() || s.rateChanged()
 	}
 	return changed
 }
@@ -251,7 +243,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := s.awaitColdRate(ctx, a.breakerCheck(j)); err != nil {
+	if err := awaitStart(ctx, a.breakerCheck(j), &s.coldPacer, &s.statedPacer); err != nil {
 		release()
 		return nil, err
 	}
@@ -272,40 +264,6 @@
 	}, nil
 }
 
-// awaitColdRate waits until a call may start at a cold target, for at most
-// maxColdWait. A call that check refuses takes nothing of the rate.
-func (s *targetState) awaitColdRate(ctx context.Context, check func() error) error {
-	if s.coldLimiter.Limit() == rate.Inf {
-		return nil
-	}
-	if check != nil {
-		if err := check(); err != nil {
-			return err
-		}
-	}
-	r := s.coldLimiter.Reserve()
-	wait := r.Delay()
-	if wait > maxColdWait {
-		r.Cancel()
-		return coder.New(coder.QueueTimeout, "the target is cold and its limit of calls per second is reached").WithAfter(wait)
-	}
-	if wait == 0 {
-		return nil
-	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		r.Cancel()
-		if ctx.Err() == context.DeadlineExceeded {
-			return coder.New(coder.DeadlineBefore, "while waiting for the rate of a cold target")
-		}
-		return coder.New(coder.Canceled, "while waiting for the rate of a cold target")
-	}
-}
-
 // breakerCheck returns a function that reports, while a call is queued, whether
 // the circuit breaker would reject it now. It is nil without a circuit breaker.
 func (a *Admitter) breakerCheck(j *exithandler.Job) func() error {
--- a/internal/admitter/statement.go
+++ b/internal/admitter/statement.go
@@ -8,17 +8,65 @@
 	"github.com/zinniaproxy/zinniaproxy/internal/tracer"
 )
 
-// ObserveStatement records what a target states about itself in the response to
-// a call sent at a time.
-func (a *Admitter) ObserveStatement(t messenger.Target, _ time.Time, st messenger.Statement) {
+const (
+	// minStatedRate is the least rate, in calls per second, that a stated rate is
+	// taken for. Without any call, the node would not learn that the target
+	// states another rate.
+	minStatedRate = 0.25
+	// rateStepDivisor sets the smallest change of a stated rate that is
+	// published: the published rate divided by it.
+	rateStepDivisor = 4
+)
+
+// ObserveStatement applies what a target states about itself in the response to a
+// call sent at a time. A response that states no rate lifts an earlier rate only
+// if its call was sent after that was stated, since responses overtake each
+// other.
+func (a *Admitter) ObserveStatement(t messenger.Target, sent time.Time, st messenger.Statement) {
+	if a.applyStatement(t, sent, st) {
+		a.RefreshVerdicts()
+	}
+}
+
+// applyStatement reports whether the target must be published again.
+func (a *Admitter) applyStatement(t messenger.Target, sent time.Time, st messenger.Statement) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	s := a.targets[t.Name]
-	if s == nil || s.epoch != t.Epoch || s.statement == st {
-		return
+	if s == nil || s.epoch != t.Epoch {
+		return false
+	}
+	switch {
+	case st.Limited:
+		s.limitedAt = time.Now()
+	case s.statement.Limited && !sent.After(s.limitedAt):
+		st.Limited, st.Rate = true, s.statement.Rate
+	}
+	if s.statement == st {
+		return false
 	}
 	a.traceStatement(t.Name, s.statement, st)
 	s.statement = st
+	s.statedPacer.setRate(s.statedRate())
+	return s.rateChanged()
+}
+
+// statedRate returns the calls per second that may start by the target's
+// statement, 0 for no limit.
+func (s *targetState) statedRate() float64 {
+	if !s.statement.Limited {
+		return 0
+	}
+	return max(s.statement.Rate, minStatedRate)
+}
+
+// rateChanged reports whether the stated rate must be published again.
+func (s *targetState) rateChanged() bool {
+	r := s.statedRate()
+	if r == 0 || s.publishedRate == 0 {
+		return r != s.publishedRate
+	}
+	return max(r-s.publishedRate, s.publishedRate-r)*rateStepDivisor >= s.publishedRate
 }
 
 // traceStatement records the events of a target that states something new.
@@ -34,6 +82,17 @@
 	}
 }
 
+// StartDelay returns how long a call for a target that arrives now would wait for
+// the target's limits of calls per second, and whether it would be refused.
+func (a *Admitter) StartDelay(target string) (d time.Duration, refused bool) {
+	s := a.target(target)
+	if s == nil {
+		return 0, false
+	}
+	d = max(s.coldPacer.delay(), s.statedPacer.delay())
+	return d, d > maxPaceWait
+}
+
 // LimitedTargets returns how many targets state a rate.
 func (a *Admitter) LimitedTargets() (n int) {
 	a.mu.Lock()
--- a/internal/loadprober/loadprober.go
+++ b/internal/loadprober/loadprober.go
@@ -43,9 +43,13 @@
 	// trialIdleTime is for how long a target goes without calls before it is
 	// tried while calls of its service fail.
 	trialIdleTime = 1200 * time.Millisecond
-	// Scores of targets whose exit node does not reply, and of targets that
-	// accept no calls.
+	// delayWeight is the score of a wait of one second for the target's limits of
+	// calls per second.
+	delayWeight = 2.0
+	// Scores of targets whose exit node does not reply, of targets whose limit of
+	// calls per second is reached, and of targets that accept no calls.
 	unansweredScore  = 10
+	exhaustedScore   = 50
 	unavailableScore = 100
 )
 
@@ -71,6 +75,10 @@
 	Unavailable bool
 	// IdleTime is for how long the target has gone without any call.
 	IdleTime time.Duration
+	// StartDelay is how long a call would wait for the target's limits of calls
+	// per second. If Exhausted, it would be refused instead.
+	StartDelay time.Duration
+	Exhausted  bool
 }
 
 // Prober chooses targets at one entry node. Its fields are set before use.
@@ -165,7 +173,7 @@
 	var idle *messenger.Target
 	var idleTime time.Duration
 	for i, report := range p.probeAll(ctx, targets) {
-		if report != nil && !report.Unavailable && report.IdleTime > max(idleTime, trialIdleTime) {
+		if report != nil && !report.Unavailable && !report.Exhausted && report.IdleTime > max(idleTime, trialIdleTime) {
 			idle, idleTime = &targets[i], report.IdleTime
 		}
 		sc := score(c, report)
@@ -173,7 +181,7 @@
 			best = candidate{target: targets[i], score: sc}
 			if report != nil {
 				best.risk = report.Risk
-				best.sufficient = riskWeight(c)*report.Risk <= maxPreferredRisk && report.load() < maxPreferredLoad
+				best.sufficient = riskWeight(c)*report.Risk <= maxPreferredRisk && report.load() < maxPreferredLoad && report.StartDelay == 0
 			}
 		}
 	}
@@ -190,12 +198,14 @@
 		return unansweredScore
 	case r.Unavailable:
 		return unavailableScore
+	case r.Exhausted:
+		return exhaustedScore
 	}
 	risk := r.Risk
 	if !c.Once {
 		risk = max(risk, breaker.StationaryRisk)
 	}
-	return riskWeight(c)*risk + loadWeight*r.load()
+	return riskWeight(c)*risk + loadWeight*r.load() + delayWeight*r.StartDelay.Seconds()
 }
 
 func riskWeight(c *messenger.Call) float64 {
--- a/internal/messenger/target.go
+++ b/internal/messenger/target.go
@@ -78,6 +78,9 @@
 	State State
 	Trust Trust
 	Limit int
+	// Rate is how many calls per second the target states that it accepts from
+	// the whole fleet, 0 if it states none. It is set by the exit node.
+	Rate float64
 	// Score ranks sick targets: higher is worse. It is 0 for sound targets.
 	Score float64
 }
--- a/internal/node/load.go
+++ b/internal/node/load.go
@@ -136,7 +136,11 @@
 		return loadprober.Report{Unavailable: true}
 	}
 	l := a.Load(q.Target)
-	return loadprober.Report{Risk: a.Risk(q.Target), Queue: l.Queue, InFlight: l.InFlight, Limit: l.Limit, IdleTime: a.IdleTime(q.Target)}
+	delay, refused := a.StartDelay(q.Target)
+	return loadprober.Report{
+		Risk: a.Risk(q.Target), Queue: l.Queue, InFlight: l.InFlight, Limit: l.Limit, IdleTime: a.IdleTime(q.Target),
+		StartDelay: delay, Exhausted: refused,
+	}
 }
 
 // pickerOutcome converts the outcome of an attempt to what the picker learns
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -238,14 +238,22 @@
 	return p.paths.state(node, now)
 }
 
+// assumedCallSeconds converts a target's stated rate to calls in flight.
+const assumedCallSeconds = 1
+
 // capacity returns how many calls a target can run at once now: the limit that
-// its exit node reports, or the service's cold limit if there is none.
+// its exit node reports, or the service's cold limit if there is none, but not
+// more than the rate that the target states keeps busy.
 func capacity(t messenger.Target, coldLimit int) float64 {
 	n := t.Limit
 	if n <= 0 {
 		n = coldLimit
 	}
-	return float64(max(min(n, t.Slots), 1))
+	limit := float64(max(min(n, t.Slots), 1))
+	if t.Rate > 0 {
+		return min(limit, t.Rate*assumedCallSeconds)
+	}
+	return limit
 }
 
 // floorCapacity returns the capacity of a target that counts towards the floor:
