admitter: targets that say in responses that they leave are draining

What callers would see: calls at a target that ends under them, while its announcements still say that it is ready or none arrives any more.

Cause: the header field was not read; a target counted as leaving by its announcements alone. Evidence: TestTargetThatSaysItLeavesInResponsesGetsNoNewCalls got 48 to 59 calls later than 2 s after the first such response, now none.

Why this works: the exit node sees every response of its target. Once one says so, the verdict it publishes is draining for the life of that process, whatever its announcements say later, since a process that leaves never returns.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -85,7 +85,8 @@
 	wasOut bool
 }
 
-// ApplyVerdict returns the target with its health verdict, limit and score set.
+// ApplyVerdict returns the target with its health verdict, limits and score set,
+// and as draining if its responses say that it leaves, whatever it announces.
 // It resets the state of a target whose epoch has changed.
 func (a *Admitter) ApplyVerdict(t messenger.Target) messenger.Target {
 	cold := a.ColdLimit(t.Service)
@@ -112,6 +113,9 @@
 	}
 	t.Limit, t.Rate = s.publishedLimit, s.publishedRate
 	t.Trust, t.Score = a.Detector.Trust(t.Name)
+	if s.statement.Leaving {
+		t.State = messenger.Draining
+	}
 	return t
 }
 
--- a/internal/admitter/statement.go
+++ b/internal/admitter/statement.go
@@ -21,7 +21,7 @@
 // ObserveStatement applies what a target states about itself in the response to a
 // call sent at a time. A response that states no rate lifts an earlier rate only
 // if its call was sent after that was stated, since responses overtake each
-// other.
+// other. A process that leaves never returns.
 func (a *Admitter) ObserveStatement(t messenger.Target, sent time.Time, st messenger.Statement) {
 	if a.applyStatement(t, sent, st) {
 		a.RefreshVerdicts()
@@ -42,13 +42,15 @@
 	case s.statement.Limited && !sent.After(s.limitedAt):
 		st.Limited, st.Rate = true, s.statement.Rate
 	}
+	st.Leaving = st.Leaving || s.statement.Leaving
 	if s.statement == st {
 		return false
 	}
 	a.traceStatement(t.Name, s.statement, st)
+	beginsToLeave := st.Leaving && !s.statement.Leaving
 	s.statement = st
 	s.statedPacer.setRate(s.statedRate())
-	return s.rateChanged()
+	return beginsToLeave || s.rateChanged()
 }
 
 // statedRate returns the calls per second that may start by the target's
