noter: a restart of the node beside a target no longer loses its statements

What callers would see: a target in need, or one about to end, that gets full work again because the node beside it was restarted.

Cause: only the exit node knew what its target had stated, in memory.

Why this works: the nodes that received the responses keep what these stated and send it with each load probe and call, so a restarted node knows it before the first call that counts. What it adopted holds until it has a response of its own. A target that stated that it leaves is not chosen by a node that it told. Notes are by the target's process, so a replacement at the same address starts without any.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -45,9 +45,11 @@
 	// publishedLimit is the limit that was last published to the fleet.
 	publishedLimit int
 	// statement is what the target last stated about itself in a response, and
-	// limitedAt when a response last stated a rate.
-	statement messenger.Statement
-	limitedAt time.Time
+	// limitedAt when a response last stated a rate. hasResponse is set once this
+	// process has received a response of the target.
+	statement   messenger.Statement
+	limitedAt   time.Time
+	hasResponse bool
 	// publishedRate is the stated rate that was last published to the fleet, 0
 	// for none.
 	publishedRate float64
@@ -240,6 +242,7 @@
 	if s == nil {
 		return nil, coder.New(coder.WrongTarget, "target %s is not on this node", j.Target.Name)
 	}
+	a.AdoptStatement(j.Target.Name, j.Target.Epoch, j.Call.Statement)
 	release, err := s.queue.Acquire(ctx, queuer.Ticket{
 		Workspace: j.Call.Workspace, Weight: j.Call.Weight, Deferrable: j.Call.Wait,
 		Deadline: j.Deadline, Bytes: len(j.Call.Body), Refuse: a.breakerCheck(j),
--- a/internal/admitter/statement.go
+++ b/internal/admitter/statement.go
@@ -21,21 +21,15 @@
 // ObserveStatement applies what a target states about itself in the response to a
 // call sent at a time. A response that states no rate lifts an earlier rate only
 // if its call was sent after that was stated, since responses overtake each
-// other. A process that leaves never returns.
-func (a *Admitter) ObserveStatement(t messenger.Target, sent time.Time, st messenger.Statement) {
-	if a.applyStatement(t, sent, st) {
-		a.RefreshVerdicts()
-	}
-}
-
-// applyStatement reports whether the target must be published again.
-func (a *Admitter) applyStatement(t messenger.Target, sent time.Time, st messenger.Statement) bool {
+// other. A process that leaves never returns. The result is what holds now.
+func (a *Admitter) ObserveStatement(t messenger.Target, sent time.Time, st messenger.Statement) messenger.Statement {
 	a.mu.Lock()
-	defer a.mu.Unlock()
 	s := a.targets[t.Name]
 	if s == nil || s.epoch != t.Epoch {
-		return false
+		a.mu.Unlock()
+		return st
 	}
+	s.hasResponse = true
 	switch {
 	case st.Limited:
 		s.limitedAt = time.Now()
@@ -43,10 +37,42 @@
 		st.Limited, st.Rate = true, s.statement.Rate
 	}
 	st.Leaving = st.Leaving || s.statement.Leaving
+	publish := a.setStatement(t.Name, s, st)
+	a.mu.Unlock()
+	if publish {
+		a.RefreshVerdicts()
+	}
+	return st
+}
+
+// AdoptStatement applies what a target stated to an entry node, until this node
+// has a response of its own: after a restart it does not know what the entry
+// nodes that received the responses know. The lowest rate holds.
+func (a *Admitter) AdoptStatement(target string, epoch uint64, st messenger.Statement) {
+	if !st.Limited {
+		return
+	}
+	a.mu.Lock()
+	s := a.targets[target]
+	if s == nil || s.epoch != epoch || s.hasResponse || s.statement.Limited && s.statement.Rate <= st.Rate {
+		a.mu.Unlock()
+		return
+	}
+	s.limitedAt = time.Now()
+	publish := a.setStatement(target, s, messenger.Statement{Limited: true, Rate: st.Rate, Leaving: s.statement.Leaving})
+	a.mu.Unlock()
+	if publish {
+		a.RefreshVerdicts()
+	}
+}
+
+// setStatement reports whether the target must be published again. The caller
+// holds the lock.
+func (a *Admitter) setStatement(target string, s *targetState, st messenger.Statement) bool {
 	if s.statement == st {
 		return false
 	}
-	a.traceStatement(t.Name, s.statement, st)
+	a.traceStatement(target, s.statement, st)
 	beginsToLeave := st.Leaving && !s.statement.Leaving
 	s.statement = st
 	s.statedPacer.setRate(s.statedRate())
--- a/internal/admitter/statement_test.go
+++ b/internal/admitter/statement_test.go
@@ -80,3 +80,21 @@
 		qt.Check(t, published, qt.DeepEquals, []float64{4, 6, minStatedRate, 0})
 	})
 }
+
+// A node that has just started takes the lowest rate that entry nodes know, until
+// a response of the target says what holds.
+func TestStartedNodeAdoptsStatedRate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a, target := newStatementAdmitter()
+		for _, rate := range []float64{3, 2, 4} {
+			a.AdoptStatement(target.Name, target.Epoch, limited(rate))
+		}
+		a.AdoptStatement(target.Name, target.Epoch+1, limited(1))
+		a.AdoptStatement(target.Name, target.Epoch, messenger.Statement{})
+		n := countStarts(t, a, target, 4*time.Second)
+		qt.Check(t, n >= 8 && n <= 10, qt.IsTrue, qt.Commentf("%d", n))
+		a.ObserveStatement(target, time.Now(), messenger.Statement{})
+		a.AdoptStatement(target.Name, target.Epoch, limited(1))
+		qt.Check(t, countStarts(t, a, target, time.Second), qt.Equals, 200)
+	})
+}
--- a/internal/attemptsender/attemptsender.go
+++ b/internal/attemptsender/attemptsender.go
@@ -91,6 +91,10 @@
 	// latency, the part spent at the exit node, and whether that is another
 	// node. It may be nil.
 	ObserveLatency func(latency, exitTime time.Duration, remote bool)
+	// Statement returns what a target stated about itself to this node, and
+	// RecordStatement records it from a response. Nil drops it.
+	Statement       func(t messenger.Target) messenger.Statement
+	RecordStatement func(t messenger.Target, st messenger.Statement)
 	// Tracer records events; nil drops them.
 	Tracer *tracer.Tracer
 }
@@ -108,6 +112,9 @@
 		return nil, err
 	}
 	c.Target, c.Epoch = t.Name, t.Epoch
+	if s.Statement != nil {
+		c.Statement = s.Statement(t)
+	}
 	if deadline, ok := ctx.Deadline(); ok {
 		c.Timeout = time.Until(deadline)
 	}
@@ -115,6 +122,9 @@
 	response, err := s.openBuffered(ctx, &c, t, attempts)
 	o := Outcome{Err: err, Latency: time.Since(start), LinkLost: t.Node != s.Node && linker.IsLinkLost(err)}
 	if response != nil {
+		if s.RecordStatement != nil {
+			s.RecordStatement(t, response.Head.Statement)
+		}
 		o.Status, o.LoadKnown = response.Head.Status, true
 		o.Load = exithandler.Load{Queue: response.Head.Queue, InFlight: response.Head.InFlight, Limit: response.Head.Limit}
 		if s.ObserveLatency != nil {
--- a/internal/exithandler/sender.go
+++ b/internal/exithandler/sender.go
@@ -49,8 +49,9 @@
 	// Dialect defines the HTTP interface to targets.
 	Dialect Dialect
 	// ObserveStatement is called with what each response states about its target,
-	// and when the call was sent. Nil drops it.
-	ObserveStatement func(t messenger.Target, sent time.Time, s messenger.Statement)
+	// and when the call was sent. It returns what holds of the target now. Nil
+	// drops it.
+	ObserveStatement func(t messenger.Target, sent time.Time, s messenger.Statement) messenger.Statement
 
 	setupOnce        sync.Once
 	pooled, unpooled *http.Transport
@@ -190,10 +191,7 @@
 	if !s.matchesRequest(j, res.Header.Get(s.Dialect.RequestIDHeader)) {
 		return s.classifyInterrupted(ctx, j, errors.New("response names another request"))
 	}
-	// A misdirected request was answered by another process than the target's.
-	if s.ObserveStatement != nil && res.StatusCode != http.StatusMisdirectedRequest {
-		s.ObserveStatement(j.Target, sent, s.Dialect.statement(res.Header))
-	}
+	statement := s.observeStatement(j, res, sent)
 	if s.Dialect.NotRun(res.StatusCode, res.Header) {
 		j.Outcome.Result = Shed
 		return coder.New(coder.Shed, "%s", j.Target.Name).WithAfter(parseRetryAfter(res.Header))
@@ -205,10 +203,20 @@
 	head := messenger.ResponseHead{
 		Status: res.StatusCode, Header: s.Dialect.EndToEndFields(res.Header), Length: res.ContentLength,
 		Queue: load.Queue, InFlight: load.InFlight, Limit: load.Limit, ExitTime: time.Since(j.ArrivedAt),
+		Statement: statement,
 	}
 	return s.relayBody(ctx, j, res, head)
 }
 
+// observeStatement returns what holds of the target after a response.
+func (s *Sender) observeStatement(j *Job, res *http.Response, sent time.Time) messenger.Statement {
+	// A misdirected request was answered by another process than the target's.
+	if s.ObserveStatement == nil || res.StatusCode == http.StatusMisdirectedRequest {
+		return messenger.Statement{}
+	}
+	return s.ObserveStatement(j.Target, sent, s.Dialect.statement(res.Header))
+}
+
 // relayBody passes the response on in pieces and marks the last one, so that a
 // short response is a single message.
 func (s *Sender) relayBody(ctx context.Context, j *Job, res *http.Response, head messenger.ResponseHead) error {
--- a/internal/loadprober/loadprober.go
+++ b/internal/loadprober/loadprober.go
@@ -60,6 +60,8 @@
 
 	Target string
 	Epoch  uint64
+	// Statement is what the target stated about itself to the entry node.
+	Statement messenger.Statement
 }
 
 // Report is the load report of a target.
@@ -93,6 +95,9 @@
 	LocalReport func(q *Query) Report
 	// SendProbe probes a target of another node.
 	SendProbe func(ctx context.Context, node string, q *Query) (*Report, error)
+	// Statement returns what a target stated about itself to this node. Nil means
+	// nothing.
+	Statement func(t messenger.Target) messenger.Statement
 	// OnReport is called with each load report of another node, OnProbeError
 	// with each node whose probe failed while replies were still awaited.
 	OnReport     func(t messenger.Target, r Report)
@@ -228,13 +233,21 @@
 	report *Report
 }
 
+func (p *Prober) query(t messenger.Target) *Query {
+	q := &Query{Target: t.Name, Epoch: t.Epoch}
+	if p.Statement != nil {
+		q.Statement = p.Statement(t)
+	}
+	return q
+}
+
 // probeAll returns the load reports of the targets in their order, nil for those
 // that did not come in time.
 func (p *Prober) probeAll(ctx context.Context, targets []messenger.Target) []*Report {
 	ctx, cancel := context.WithTimeout(ctx, firstReportTimeout)
 	results := make(chan probeResult, len(targets))
 	for i, t := range targets {
-		q := &Query{Target: t.Name, Epoch: t.Epoch}
+		q := p.query(t)
 		if t.Node == p.Self {
 			local := p.LocalReport(q)
 			results <- probeResult{i, &local}
--- a/internal/messenger/call.go
+++ b/internal/messenger/call.go
@@ -59,6 +59,9 @@
 	Timeout time.Duration
 	// Once means that the request is non-idempotent and runs at most once.
 	Once bool
+	// Statement is what the target stated about itself to the entry node, which
+	// an exit node that has just started does not know.
+	Statement Statement
 	// Wait means that the request is deferrable: others are served first.
 	Wait bool
 }
@@ -84,6 +87,8 @@
 	// ExitTime is the time from the call's arrival at the exit node to the start
 	// of the response.
 	ExitTime time.Duration
+	// Statement is what the target states about itself.
+	Statement Statement
 	// Body is the first piece of the body. The link's message, not this
 	// field, says whether it is also the last.
 	Body []byte
--- a/internal/node/load.go
+++ b/internal/node/load.go
@@ -14,6 +14,7 @@
 	"github.com/zinniaproxy/zinniaproxy/internal/linker"
 	"github.com/zinniaproxy/zinniaproxy/internal/loadprober"
 	"github.com/zinniaproxy/zinniaproxy/internal/messenger"
+	"github.com/zinniaproxy/zinniaproxy/internal/noter"
 	"github.com/zinniaproxy/zinniaproxy/internal/picker"
 	"github.com/zinniaproxy/zinniaproxy/internal/prober"
 	"github.com/zinniaproxy/zinniaproxy/internal/settingsloader"
@@ -58,13 +59,15 @@
 	return &breaker.Breaker{}
 }
 
-func newPicker(s settingsloader.Settings, cfg *configurer.Configurer, g *gossiper.Gossiper, pr *prober.Prober, t *tracer.Tracer) *picker.Picker {
+func newNoter() *noter.Noter { return &noter.Noter{} }
+
+func newPicker(s settingsloader.Settings, cfg *configurer.Configurer, g *gossiper.Gossiper, pr *prober.Prober, n *noter.Noter, t *tracer.Tracer) *picker.Picker {
 	return &picker.Picker{
 		Down: func(node string) bool {
 			m, ok := pr.Member(node)
 			return ok && m.State != prober.Alive
 		},
-		Centre: s.Centre, Targets: g.Targets, Index: cfg.Index, Rand: rand.Float64,
+		Centre: s.Centre, Targets: g.Targets, Index: cfg.Index, Rand: rand.Float64, Leaving: n.Leaving,
 		OnAvoid: func(node string) { t.Add(tracer.Event{Kind: "path-avoided", Detail: node}) },
 	}
 }
@@ -106,9 +109,9 @@
 
 func isCanceled(err error) bool { return err != nil && coder.Of(err).Code == coder.Canceled }
 
-func newLoadProber(s settingsloader.Settings, p *picker.Picker, a *admitter.Admitter, l *linker.Linker, r *targetregistrar.Registrar) *loadprober.Prober {
+func newLoadProber(s settingsloader.Settings, p *picker.Picker, a *admitter.Admitter, l *linker.Linker, r *targetregistrar.Registrar, n *noter.Noter) *loadprober.Prober {
 	lp := &loadprober.Prober{
-		Self: s.Name, Candidates: p.Candidates,
+		Self: s.Name, Candidates: p.Candidates, Statement: n.Statement,
 		LocalReport: func(q *loadprober.Query) loadprober.Report { return localLoadReport(a, r, q) },
 		SendProbe: func(ctx context.Context, node string, q *loadprober.Query) (*loadprober.Report, error) {
 			return linker.SendTypedQuery[loadprober.Query, loadprober.Report](ctx, l, node, linker.MethodLoadProbe, q)
@@ -135,6 +138,7 @@
 	if !ok || t.Epoch != q.Epoch || !t.AcceptsCalls() {
 		return loadprober.Report{Unavailable: true}
 	}
+	a.AdoptStatement(q.Target, q.Epoch, q.Statement)
 	l := a.Load(q.Target)
 	delay, refused := a.StartDelay(q.Target)
 	return loadprober.Report{
--- a/internal/node/provide.go
+++ b/internal/node/provide.go
@@ -17,6 +17,7 @@
 	"github.com/zinniaproxy/zinniaproxy/internal/linker"
 	"github.com/zinniaproxy/zinniaproxy/internal/loadprober"
 	"github.com/zinniaproxy/zinniaproxy/internal/measurer"
+	"github.com/zinniaproxy/zinniaproxy/internal/noter"
 	"github.com/zinniaproxy/zinniaproxy/internal/picker"
 	"github.com/zinniaproxy/zinniaproxy/internal/prober"
 	"github.com/zinniaproxy/zinniaproxy/internal/requestrunner"
@@ -87,14 +88,14 @@
 	return c.Out
 }
 
-func newAttemptSender(s settingsloader.Settings, p *picker.Picker, l *linker.Linker, eh *exithandler.Handler, lp *loadprober.Prober, m *measurer.Measurer, t *tracer.Tracer) *attemptsender.Sender {
+func newAttemptSender(s settingsloader.Settings, p *picker.Picker, l *linker.Linker, eh *exithandler.Handler, lp *loadprober.Prober, n *noter.Noter, m *measurer.Measurer, t *tracer.Tracer) *attemptsender.Sender {
 	pick := pickFromState(p)
 	if s.PrefersAvailability() {
 		pick = pickByLoadProbe(p, lp)
 	}
 	return &attemptsender.Sender{
 		Node: s.Name, Open: l.Open, Local: &exithandler.Local{Serve: eh.Serve}, Pick: pick, Tracer: t,
-		ObserveLatency: m.Attempt,
+		ObserveLatency: m.Attempt, Statement: n.Statement, RecordStatement: n.Record,
 	}
 }
 
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -40,6 +40,9 @@
 	Down func(node string) bool
 	// Rand returns a random number in [0, 1).
 	Rand func() float64
+	// Leaving reports whether a target stated to this node that it leaves. Nil
+	// means never.
+	Leaving func(t messenger.Target) bool
 	// OnAvoid is called when the path to a node is newly avoided. It may be nil.
 	OnAvoid func(node string)
 
@@ -213,7 +216,7 @@
 		Name:               t.Name,
 		Slots:              float64(t.Slots),
 		Capacity:           floorCapacity(t, coldLimit),
-		Available:          t.AcceptsCalls() && !centreOut(index, t.Centre),
+		Available:          t.AcceptsCalls() && !p.leaving(t) && !centreOut(index, t.Centre),
 		ReducedWhenDropped: true,
 	}
 	switch t.Trust {
@@ -231,6 +234,8 @@
 	return c
 }
 
+func (p *Picker) leaving(t messenger.Target) bool { return p.Leaving != nil && p.Leaving(t) }
+
 func (p *Picker) pathState(node string, now time.Time) pathState {
 	if p.Down != nil && p.Down(node) {
 		return avoided
--- a/internal/targetregistrar/targetregistrar.go
+++ b/internal/targetregistrar/targetregistrar.go
@@ -123,6 +123,9 @@
 		Name: name, Service: a.Service, Address: a.Address, Node: r.Node, Centre: r.Centre,
 		Epoch: old.target.Epoch, Instance: a.Instance, Slots: slots, State: a.State,
 	}
+	if a.Instance == "" {
+		t.Start = a.Epoch
+	}
 	if !known || !old.sameProcess(a) {
 		t.Epoch = r.nextEpoch()
 	}
