crashwatcher: find crashes of targets and the requests in flight

A call that broke off said nothing of whether the target's process ended, nor what it shares with its repeats. The event target-crashed names the requests by a fingerprint over workspace, method, host, path, query and body, which call-ended has too where a call broke off; gauge targets.crashed. A process counts as ended if it no longer accepts a connection right after. Nothing decides by it yet.

--- a/internal/exithandler/exithandler.go
+++ b/internal/exithandler/exithandler.go
@@ -115,6 +115,8 @@
 	// at the target. Either may be nil.
 	Waited func(d time.Duration)
 	Ended  func(o Outcome)
+	// CallCut records a call that broke off after it was sent. It may be nil.
+	CallCut func(t messenger.Target, request messenger.Fingerprint)
 	// Tracer records events; nil drops them.
 	Tracer *tracer.Tracer
 }
@@ -204,6 +206,13 @@
 	err := h.Send(ctx, j)
 	e.Kind, e.Detail, e.Took = "call-ended", j.Outcome.Result.String(), tracer.Millis(time.Since(start))
 	e.Routine = j.Outcome.Result == Good
+	if err != nil && coder.Of(err).Code == coder.Cut {
+		request := j.Call.Fingerprint()
+		e.Fingerprint = request.String()
+		if h.CallCut != nil {
+			h.CallCut(j.Target, request)
+		}
+	}
 	h.Tracer.Add(e)
 	if h.Ended != nil {
 		h.Ended(j.Outcome)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -16,6 +16,7 @@
 	"github.com/zinniaproxy/zinniaproxy/internal/attemptsender"
 	"github.com/zinniaproxy/zinniaproxy/internal/authenticator"
 	"github.com/zinniaproxy/zinniaproxy/internal/configurer"
+	"github.com/zinniaproxy/zinniaproxy/internal/crashwatcher"
 	"github.com/zinniaproxy/zinniaproxy/internal/deduper"
 	"github.com/zinniaproxy/zinniaproxy/internal/detector"
 	"github.com/zinniaproxy/zinniaproxy/internal/drainer"
@@ -138,6 +139,7 @@
 	Retrier             *retrier.Retrier
 	Drainer             *drainer.Drainer
 	IdempotencyRecorder *recorder.Recorder
+	CrashWatcher        *crashwatcher.Watcher
 	ExitHandler         *exithandler.Handler
 	AttemptSender       *attemptsender.Sender
 	EntryHandler        *entryhandler.Handler
--- a/internal/node/provide.go
+++ b/internal/node/provide.go
@@ -8,6 +8,7 @@
 	"github.com/zinniaproxy/zinniaproxy/internal/attemptsender"
 	"github.com/zinniaproxy/zinniaproxy/internal/authenticator"
 	"github.com/zinniaproxy/zinniaproxy/internal/configurer"
+	"github.com/zinniaproxy/zinniaproxy/internal/crashwatcher"
 	"github.com/zinniaproxy/zinniaproxy/internal/deduper"
 	"github.com/zinniaproxy/zinniaproxy/internal/drainer"
 	"github.com/zinniaproxy/zinniaproxy/internal/entryhandler"
@@ -69,12 +70,16 @@
 	return nil
 }
 
-func newExitHandler(r *targetregistrar.Registrar, a *admitter.Admitter, sender *exithandler.Sender, dd *deduper.Deduper, dr *drainer.Drainer, m *measurer.Measurer, t *tracer.Tracer) *exithandler.Handler {
+func newCrashWatcher(p Platform, t *tracer.Tracer) *crashwatcher.Watcher {
+	return &crashwatcher.Watcher{Dial: p.Dial, Tracer: t}
+}
+
+func newExitHandler(r *targetregistrar.Registrar, a *admitter.Admitter, sender *exithandler.Sender, dd *deduper.Deduper, dr *drainer.Drainer, cw *crashwatcher.Watcher, m *measurer.Measurer, t *tracer.Tracer) *exithandler.Handler {
 	return &exithandler.Handler{
 		Lookup: r.Lookup, Enter: dr.Enter,
 		Begin: beginAttempt(dd), Acquire: a.Acquire, Load: a.Load, Send: sender.Send, Tracer: t,
-		Waited: m.Queue,
-		Ended:  func(o exithandler.Outcome) { m.Target(o.Result.String(), o.Latency) },
+		Waited: m.Queue, CallCut: cw.CallCut,
+		Ended: func(o exithandler.Outcome) { m.Target(o.Result.String(), o.Latency) },
 	}
 }
 
--- a/internal/node/wire_gen.go
+++ b/internal/node/wire_gen.go
@@ -32,7 +32,8 @@
 	retrier := newRetrier(s, p, prober, picker)
 	drainer := newDrainer(s, configurer, registrar, tracer)
 	recorder := newIdempotencyRecorder(s, p, prober, linker, tracer)
-	handler := newExitHandler(registrar, admitter, sender, deduper, drainer, measurer, tracer)
+	watcher := newCrashWatcher(p, tracer)
+	handler := newExitHandler(registrar, admitter, sender, deduper, drainer, watcher, measurer, tracer)
 	loadproberProber := newLoadProber(s, picker, admitter, linker, registrar, noter)
 	attemptsenderSender := newAttemptSender(s, picker, linker, handler, loadproberProber, noter, measurer, tracer)
 	limiter := newSoftLimiter(s, p, configurer, prober)
@@ -54,6 +55,7 @@
 		Retrier:             retrier,
 		Drainer:             drainer,
 		IdempotencyRecorder: recorder,
+		CrashWatcher:        watcher,
 		ExitHandler:         handler,
 		AttemptSender:       attemptsenderSender,
 		EntryHandler:        entryhandlerHandler,
--- a/internal/tracer/tracer.go
+++ b/internal/tracer/tracer.go
@@ -44,6 +44,8 @@
 	Queue    int     `json:"queue,omitempty"`
 	InFlight int     `json:"flying,omitempty"`
 	Limit    int     `json:"limit,omitempty"`
+	// Fingerprint is that of a request which all its repeats share.
+	Fingerprint string `json:"print,omitempty"`
 	// Detail is free text. It never contains a key.
 	Detail string `json:"detail,omitempty"`
 	// Routine marks an event of a successful request or attempt: its log line is
