--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -33,6 +33,10 @@
 // "/slow".
 const slowTargetLatency = 2500 * time.Millisecond
 
+// fatalRunTime is how long a target runs a path that ends in "/fatal" before it
+// crashes.
+const fatalRunTime = 50 * time.Millisecond
+
 // testFleet is several real nodes in one process on an in-memory network. The
 // host of each node is the node's name. Use it inside a synctest bubble.
 type testFleet struct {
@@ -53,6 +57,10 @@
 	statements map[string]http.Header
 	// arrivals are the times of the requests, by target.
 	arrivals map[string][]time.Time
+	// crash ends a target's process, which is back after crashDowntime, and
+	// crashTimes are when each of them ended.
+	crash      map[string]func()
+	crashTimes []time.Time
 	// sharedRates starts nodes with settingsloader.RatesShared.
 	sharedRates bool
 	cleanups    []func()
@@ -72,7 +80,7 @@
 	f := &testFleet{
 		t: t, network: faker.NewNetwork(linkDelay), store: faker.NewStore(), names: names,
 		nodes: map[string]*runningNode{}, requests: map[string][]string{}, sick: map[string]bool{}, draining: map[string]bool{},
-		statements: map[string]http.Header{}, arrivals: map[string][]time.Time{},
+		statements: map[string]http.Header{}, arrivals: map[string][]time.Time{}, crash: map[string]func(){},
 	}
 	return f
 }
@@ -172,10 +180,7 @@
 // startTarget starts a target on a node's VM and announces it every second.
 func (f *testFleet) startTarget(name, node, service string, port, slots int) {
 	address := fmt.Sprintf("%s:%d", node, port)
-	ln, err := f.network.Listen(address)
-	qt.Assert(f.t, err, qt.IsNil)
-	s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { f.serveTarget(name, w, r) })}
-	go func() { _ = s.Serve(ln) }()
+	f.runTarget(name, address)
 	ctx, stop := context.WithCancel(f.t.Context())
 	c := f.client(node)
 	go func() {
@@ -188,7 +193,28 @@
 		}
 	}()
 	f.onClose(stop)
+}
+
+// crashDowntime is how long a target that crashed is down.
+const crashDowntime = 3 * time.Second
+
+// runTarget runs a target's process.
+func (f *testFleet) runTarget(name, address string) {
+	ln, err := f.network.Listen(address)
+	qt.Assert(f.t, err, qt.IsNil)
+	s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { f.serveTarget(name, w, r) })}
+	go func() { _ = s.Serve(ln) }()
 	f.onClose(func() { _ = s.Close() })
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.crash[name] = sync.OnceFunc(func() {
+		f.mu.Lock()
+		f.crashTimes = append(f.crashTimes, time.Now())
+		f.mu.Unlock()
+		_ = s.Close()
+		restart := time.AfterFunc(crashDowntime, func() { f.runTarget(name, address) })
+		f.onClose(func() { restart.Stop() })
+	})
 }
 
 func (f *testFleet) targetState(target string) string {
@@ -231,6 +257,12 @@
 	case strings.HasSuffix(r.URL.Path, "/shed"):
 		w.Header().Set("Zinnia-Ran", "no")
 		w.WriteHeader(http.StatusServiceUnavailable)
+	case strings.HasSuffix(r.URL.Path, "/fatal"):
+		time.Sleep(fatalRunTime)
+		f.mu.Lock()
+		crash := f.crash[name]
+		f.mu.Unlock()
+		crash()
 	case strings.HasSuffix(r.URL.Path, "/slow"):
 		time.Sleep(slowTargetLatency)
 		f.addStatement(name, w)
