quarantiner: requests that crash targets are kept from all of them

Cause: nothing remembers that a request ended a target. The exit sees a broken connection, the detector and the circuit breaker blame the target, the retrier sends the request to the next one, and the next arrival counts as new.

Why this works: the exit node knows which requests ran when its target ended. It reports them by fingerprint to all nodes, at once, and all derive the same verdict: the request at the most crashes is the cause, and what it explains is not held against the others that were there. Entry and exit refuse it, not run. Nodes that were cut off, restarted, or all restarted learn it from the others or from the store. After ten minutes one node lets one call through, on which the next quarantine depends, so that further sends stay bounded for good.

--- a/internal/exithandler/exithandler.go
+++ b/internal/exithandler/exithandler.go
@@ -115,6 +115,10 @@
 	// at the target. Either may be nil.
 	Waited func(d time.Duration)
 	Ended  func(o Outcome)
+	// Quarantine returns a refusal for a call whose request crashes targets, and
+	// Completed records a call that its target responded to. Either may be nil.
+	Quarantine func(c *messenger.Call) error
+	Completed  func(c *messenger.Call)
 	// CallCut records a call that broke off after it was sent. It may be nil.
 	CallCut func(t messenger.Target, request messenger.Fingerprint)
 	// Tracer records events; nil drops them.
@@ -123,7 +127,7 @@
 
 // Filters returns the filters of a call in the order in which they run.
 func (h *Handler) Filters() []Filter {
-	return []Filter{h.findTarget, h.refuseIfLeaving, h.refuseDuplicate, h.acquireSlot, h.send}
+	return []Filter{h.findTarget, h.refuseIfLeaving, h.refuseDuplicate, h.acquireSlot, h.refuseQuarantined, h.send}
 }
 
 // Serve runs one call. An error is a refusal; after the head it means that the
@@ -195,6 +199,17 @@
 	return next(ctx, j)
 }
 
+// refuseQuarantined refuses a call whose request crashes targets, also if that
+// became known while it waited for its slot.
+func (h *Handler) refuseQuarantined(ctx context.Context, j *Job, next Step) error {
+	if h.Quarantine != nil {
+		if err := h.Quarantine(j.Call); err != nil {
+			return err
+		}
+	}
+	return next(ctx, j)
+}
+
 func (h *Handler) send(ctx context.Context, j *Job, _ Step) error {
 	load := h.Load(j.Target.Name)
 	e := tracer.Event{
@@ -214,6 +229,9 @@
 		}
 	}
 	h.Tracer.Add(e)
+	if err == nil && h.Completed != nil {
+		h.Completed(j.Call)
+	}
 	if h.Ended != nil {
 		h.Ended(j.Outcome)
 	}
--- a/internal/gossiper/exchange.go
+++ b/internal/gossiper/exchange.go
@@ -2,56 +2,25 @@
 
 import (
 	"context"
-	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
-)
 
-// peers returns the other running nodes: those of the own data centre, and the
-// others by their data centre. A node that is alone in its data centre has all
-// others as near peers.
-func (g *Gossiper) peers() (near []string, remote map[string][]string) {
-	remote = maps.Clone(g.Alive())
-	near = slices.DeleteFunc(slices.Clone(remote[g.Centre]), func(name string) bool { return name == g.Node })
-	delete(remote, g.Centre)
-	if len(near) > 0 {
-		return near, remote
-	}
-	for _, names := range remote {
-		near = append(near, names...)
-	}
-	return near, nil
-}
-
-// sample returns up to n random names.
-func sample(names []string, n int) []string {
-	if len(names) <= n {
-		return names
-	}
-	out := make([]string, 0, n)
-	for len(out) < n {
-		if name := names[rand.IntN(len(names))]; !slices.Contains(out, name) {
-			out = append(out, name)
-		}
-	}
-	return out
-}
+	"github.com/zinniaproxy/zinniaproxy/internal/sampler"
+)
 
 // exchangePartner returns a random node to compare digests with, or "". Until
 // the digests have matched once it is in the own data centre, where the whole
 // directory is fetched without crossing to another.
 func (g *Gossiper) exchangePartner() string {
-	near, remote := g.peers()
-	if g.joined && rand.Float64() < remoteExchangeProbability {
-		if centres := slices.Collect(maps.Keys(remote)); len(centres) > 0 {
-			near = remote[centres[rand.IntN(len(centres))]]
-		}
-	}
-	if len(near) == 0 {
-		return ""
+	if !g.joined {
+		return g.sampler().Partner(0)
 	}
-	return near[rand.IntN(len(near))]
+	return g.sampler().Partner(remoteExchangeProbability)
+}
+
+func (g *Gossiper) sampler() *sampler.Sampler {
+	return &sampler.Sampler{Node: g.Node, Centre: g.Centre, Alive: g.Alive}
 }
 
 // gossip sends the pending versions to a few random nodes of the own data
@@ -73,15 +42,15 @@
 	ownPending := g.pendingGossip[g.Node]
 	clear(g.pendingGossip)
 	g.mu.Unlock()
-	near, remote := g.peers()
-	for _, name := range sample(near, gossipFanout) {
+	near, remote := g.sampler().Peers()
+	for _, name := range sampler.Sample(near, gossipFanout) {
 		go func() { _, _ = g.query(ctx, name, q) }()
 	}
 	if !ownPending {
 		return
 	}
 	for _, names := range remote {
-		for _, name := range sample(names, remoteFanout) {
+		for _, name := range sampler.Sample(names, remoteFanout) {
 			go func() { _, _ = g.query(ctx, name, own) }()
 		}
 	}
--- a/internal/linker/message.go
+++ b/internal/linker/message.go
@@ -47,6 +47,8 @@
 	MethodLoadProbe
 	// MethodSoftLimit carries the soft limiter's messages.
 	MethodSoftLimit
+	// MethodQuarantine carries reports of requests that crash targets.
+	MethodQuarantine
 )
 
 // hello starts the handshake. Both sides send one.
--- a/internal/measurer/table.go
+++ b/internal/measurer/table.go
@@ -26,6 +26,7 @@
 	{"targets.known", "targets", "this node knows now"},
 	{"targets.sound", "targets", "of these are chosen freely; the others are ejected or recovering"},
 	{"targets.limited", "targets", "of this node state how many calls per second they accept"},
+	{"requests.quarantined", "requests", "that crash targets and are kept from them now"},
 	{"targets.crashed", "count", "of targets of this node whose process ended while it ran calls"},
 	{"nodes.alive", "nodes", "this node takes to be running now"},
 	{"configuration.number", "number", "of the configuration in force"},
--- a/internal/node/attempts.go
+++ b/internal/node/attempts.go
@@ -11,6 +11,7 @@
 	"github.com/zinniaproxy/zinniaproxy/internal/messenger"
 	"github.com/zinniaproxy/zinniaproxy/internal/picker"
 	"github.com/zinniaproxy/zinniaproxy/internal/prober"
+	"github.com/zinniaproxy/zinniaproxy/internal/quarantiner"
 	"github.com/zinniaproxy/zinniaproxy/internal/recorder"
 	"github.com/zinniaproxy/zinniaproxy/internal/requestrunner"
 	"github.com/zinniaproxy/zinniaproxy/internal/retrier"
@@ -85,9 +86,9 @@
 	return out
 }
 
-func newRequestRunner(sender *attemptsender.Sender, l *linker.Linker, r *retrier.Retrier, rec *recorder.Recorder) *requestrunner.Runner {
+func newRequestRunner(sender *attemptsender.Sender, l *linker.Linker, r *retrier.Retrier, rec *recorder.Recorder, q *quarantiner.Quarantiner) *requestrunner.Runner {
 	return &requestrunner.Runner{
-		Attempt: sender.Attempt, Retrier: r, Record: rec.Begin, Finish: rec.Finish, Rand: rand.Uint64,
+		Attempt: sender.Attempt, Retrier: r, Record: rec.Begin, Finish: rec.Finish, Rand: rand.Uint64, Admit: q.Admit,
 		Fence: func(ctx context.Context, node string, q *messenger.Fence) (*messenger.FenceReply, error) {
 			return linker.SendTypedQuery[messenger.Fence, messenger.FenceReply](ctx, l, node, linker.MethodFence, q)
 		},
--- a/internal/node/bind.go
+++ b/internal/node/bind.go
@@ -18,6 +18,7 @@
 	registerMetrics(c)
 	c.Linker.Handle(linker.MethodCall, attemptsender.Serve(c.ExitHandler))
 	linker.HandleTypedQuery(c.Linker, linker.MethodFence, answerFence(c.Deduper))
+	linker.HandleTypedQuery(c.Linker, linker.MethodQuarantine, c.Quarantiner.Handle)
 	linker.HandleTypedQuery(c.Linker, linker.MethodRecord, c.IdempotencyRecorder.Handle)
 	bindLoad(c)
 	c.TargetRegistrar.ApplyVerdict = drainOnStop(c.Drainer, c.TargetRegistrar.ApplyVerdict)
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -93,6 +93,9 @@
 	for _, cleanup := range f.cleanups {
 		cleanup()
 	}
+	// A canceled request leaves its dial behind for a round trip, and time in a
+	// bubble stands still once its test has returned.
+	time.Sleep(4 * linkDelay)
 	synctest.Wait()
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -28,6 +28,7 @@
 	"github.com/zinniaproxy/zinniaproxy/internal/measurer"
 	"github.com/zinniaproxy/zinniaproxy/internal/picker"
 	"github.com/zinniaproxy/zinniaproxy/internal/prober"
+	"github.com/zinniaproxy/zinniaproxy/internal/quarantiner"
 	"github.com/zinniaproxy/zinniaproxy/internal/recorder"
 	"github.com/zinniaproxy/zinniaproxy/internal/retrier"
 	"github.com/zinniaproxy/zinniaproxy/internal/settingsloader"
@@ -140,6 +141,7 @@
 	Drainer             *drainer.Drainer
 	IdempotencyRecorder *recorder.Recorder
 	CrashWatcher        *crashwatcher.Watcher
+	Quarantiner         *quarantiner.Quarantiner
 	ExitHandler         *exithandler.Handler
 	AttemptSender       *attemptsender.Sender
 	EntryHandler        *entryhandler.Handler
@@ -178,6 +180,7 @@
 		{"keys", n.Authenticator.Run},
 		{"judgements", n.runDetector},
 		{"limits", n.Admitter.Run},
+		{"quarantine", n.Quarantiner.Run},
 		{"traffic", n.logTraffic},
 	}
 	if n.Settings.PrefersAvailability() {
--- a/internal/node/provide.go
+++ b/internal/node/provide.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"time"
 
 	"github.com/zinniaproxy/zinniaproxy/internal/adminserver"
@@ -21,7 +22,9 @@
 	"github.com/zinniaproxy/zinniaproxy/internal/noter"
 	"github.com/zinniaproxy/zinniaproxy/internal/picker"
 	"github.com/zinniaproxy/zinniaproxy/internal/prober"
+	"github.com/zinniaproxy/zinniaproxy/internal/quarantiner"
 	"github.com/zinniaproxy/zinniaproxy/internal/requestrunner"
+	"github.com/zinniaproxy/zinniaproxy/internal/sampler"
 	"github.com/zinniaproxy/zinniaproxy/internal/settingsloader"
 	"github.com/zinniaproxy/zinniaproxy/internal/softlimiter"
 	"github.com/zinniaproxy/zinniaproxy/internal/targetregistrar"
@@ -70,15 +73,25 @@
 	return nil
 }
 
-func newCrashWatcher(p Platform, t *tracer.Tracer) *crashwatcher.Watcher {
-	return &crashwatcher.Watcher{Dial: p.Dial, Tracer: t}
+func newCrashWatcher(p Platform, q *quarantiner.Quarantiner, t *tracer.Tracer) *crashwatcher.Watcher {
+	return &crashwatcher.Watcher{Dial: p.Dial, OnCrash: q.ReportCrash, Tracer: t}
 }
 
-func newExitHandler(r *targetregistrar.Registrar, a *admitter.Admitter, sender *exithandler.Sender, dd *deduper.Deduper, dr *drainer.Drainer, cw *crashwatcher.Watcher, m *measurer.Measurer, t *tracer.Tracer) *exithandler.Handler {
+func newQuarantiner(s settingsloader.Settings, p Platform, pr *prober.Prober, l *linker.Linker, t *tracer.Tracer) *quarantiner.Quarantiner {
+	return &quarantiner.Quarantiner{
+		Sampler: &sampler.Sampler{Node: s.Name, Centre: s.Centre, Alive: pr.AliveByCentre},
+		SendQuery: func(ctx context.Context, node string, q *quarantiner.Query) (*quarantiner.Reply, error) {
+			return linker.SendTypedQuery[quarantiner.Query, quarantiner.Reply](ctx, l, node, linker.MethodQuarantine, q)
+		},
+		Store: p.Store, Log: p.Log, Tracer: t,
+	}
+}
+
+func newExitHandler(r *targetregistrar.Registrar, a *admitter.Admitter, sender *exithandler.Sender, dd *deduper.Deduper, dr *drainer.Drainer, cw *crashwatcher.Watcher, q *quarantiner.Quarantiner, m *measurer.Measurer, t *tracer.Tracer) *exithandler.Handler {
 	return &exithandler.Handler{
 		Lookup: r.Lookup, Enter: dr.Enter,
 		Begin: beginAttempt(dd), Acquire: a.Acquire, Load: a.Load, Send: sender.Send, Tracer: t,
-		Waited: m.Queue, CallCut: cw.CallCut,
+		Waited: m.Queue, CallCut: cw.CallCut, Quarantine: q.Check, Completed: q.Completed,
 		Ended: func(o exithandler.Outcome) { m.Target(o.Result.String(), o.Latency) },
 	}
 }
--- a/internal/node/wire_gen.go
+++ b/internal/node/wire_gen.go
@@ -32,14 +32,15 @@
 	retrier := newRetrier(s, p, prober, picker)
 	drainer := newDrainer(s, configurer, registrar, tracer)
 	recorder := newIdempotencyRecorder(s, p, prober, linker, tracer)
-	watcher := newCrashWatcher(p, tracer)
-	handler := newExitHandler(registrar, admitter, sender, deduper, drainer, watcher, measurer, tracer)
+	quarantiner := newQuarantiner(s, p, prober, linker, tracer)
+	watcher := newCrashWatcher(p, quarantiner, tracer)
+	handler := newExitHandler(registrar, admitter, sender, deduper, drainer, watcher, quarantiner, measurer, tracer)
 	loadproberProber := newLoadProber(s, picker, admitter, linker, registrar, noter)
 	attemptsenderSender := newAttemptSender(s, picker, linker, handler, loadproberProber, noter, measurer, tracer)
 	limiter := newSoftLimiter(s, p, configurer, prober)
 	authenticator := newAuthenticator(s, configurer, prober)
 	limiterLimiter := newLimiter(s, epoch, p, configurer, prober, tracer)
-	runner := newRequestRunner(attemptsenderSender, linker, retrier, recorder)
+	runner := newRequestRunner(attemptsenderSender, linker, retrier, recorder, quarantiner)
 	entryhandlerHandler := newEntryHandler(s, epoch, p, limiter, configurer, authenticator, limiterLimiter, prober, runner, drainer, measurer, tracer)
 	server := newAdminServer(s, configurer, membership, registrar, drainer, limiterLimiter, measurer, tracer)
 	memberRecorder := newMemberRecorder(p, prober)
@@ -56,6 +57,7 @@
 		Drainer:             drainer,
 		IdempotencyRecorder: recorder,
 		CrashWatcher:        watcher,
+		Quarantiner:         quarantiner,
 		ExitHandler:         handler,
 		AttemptSender:       attemptsenderSender,
 		EntryHandler:        entryhandlerHandler,
--- /dev/null
+++ b/internal/quarantiner/spread.go
@@ -0,0 +1,265 @@
+package quarantiner
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/zinniaproxy/zinniaproxy/internal/messenger"
+	"github.com/zinniaproxy/zinniaproxy/internal/sampler"
+	"github.com/zinniaproxy/zinniaproxy/internal/storer"
+)
+
+const (
+	// pushFanout is how many nodes of the own data centre get new reports,
+	// remoteFanout how many of each other one get this node's own.
+	pushFanout, remoteFanout = 4, 2
+	// pullInterval is the mean time between two comparisons with a random node,
+	// joinInterval that of a node that does not know yet what is in the store, and
+	// remotePullProbability how often that node is of another data centre.
+	pullInterval          = 2 * time.Second
+	joinInterval          = 200 * time.Millisecond
+	remotePullProbability = 0.25
+	// newsInterval is the time between comparisons for newsPeriod after a new
+	// report: who got one may have missed another.
+	newsInterval = 250 * time.Millisecond
+	newsPeriod   = 2 * time.Second
+	// loadSpread bounds the random delay of the first read of the store, in which
+	// a node that is already loaded spares the others the call.
+	loadSpread = time.Second
+	// storeInterval is the time between two tries to read or write the store.
+	storeInterval = time.Second
+	queryTimeout  = 2 * time.Second
+	storeTimeout  = 2 * time.Second
+	// KeyPrefix is the prefix of the store's keys.
+	KeyPrefix = "quarantine/"
+)
+
+// Run exchanges reports with other nodes and keeps quarantines in the store until
+// ctx ends.
+func (q *Quarantiner) Run(ctx context.Context) error {
+	pull := time.NewTimer(rand.N(joinInterval))
+	defer pull.Stop()
+	store := time.NewTimer(joinInterval + rand.N(loadSpread))
+	defer store.Stop()
+	wake, news := q.channels()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-pull.C:
+			go q.pull(ctx)
+			pull.Reset(q.nextPull())
+		case <-store.C:
+			q.syncStore(ctx)
+			store.Reset(storeInterval)
+		case <-wake:
+			q.syncStore(ctx)
+		case <-news:
+			pull.Reset(newsInterval)
+		}
+	}
+}
+
+// channels returns the channels that signal a quarantine to save and a new report.
+func (q *Quarantiner) channels() (wake, news chan struct{}) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.wake == nil {
+		q.wake, q.news = make(chan struct{}, 1), make(chan struct{}, 1)
+	}
+	return q.wake, q.news
+}
+
+// signal wakes Run up, if it runs.
+func signal(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+func (q *Quarantiner) nextPull() time.Duration {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	switch {
+	case !q.loaded:
+		return joinInterval
+	case time.Since(q.lastNews) < newsPeriod:
+		return newsInterval
+	}
+	return pullInterval/2 + rand.N(pullInterval)
+}
+
+// push sends new reports to a few nodes, which pass them on in their data centre.
+func (q *Quarantiner) push(reports []Report, own bool) {
+	if len(reports) == 0 {
+		return
+	}
+	query := &Query{Reports: reports}
+	near, remote := q.Sampler.Peers()
+	names := sampler.Sample(near, pushFanout)
+	if own {
+		for _, others := range remote {
+			names = append(names[:len(names):len(names)], sampler.Sample(others, remoteFanout)...)
+		}
+	}
+	for _, name := range names {
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), queryTimeout)
+			defer cancel()
+			_, _ = q.SendQuery(ctx, name, query) // a pull repairs what is lost
+		}()
+	}
+}
+
+// pull fetches the reports that a random node has and this one lacks.
+func (q *Quarantiner) pull(ctx context.Context) {
+	q.mu.Lock()
+	q.prune(time.Now())
+	query := &Query{Pull: true, Digest: q.digest}
+	q.mu.Unlock()
+	name := q.Sampler.Partner(remotePullProbability)
+	if name == "" {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
+	defer cancel()
+	reply, err := q.SendQuery(ctx, name, query)
+	if err != nil {
+		return
+	}
+	q.push(q.merge(reply.Reports, false), false)
+	if reply.Loaded {
+		q.setLoaded()
+	}
+}
+
+// Handle answers a query of another node.
+func (q *Quarantiner) Handle(_ context.Context, _ string, query *Query) (*Reply, error) {
+	q.push(q.merge(query.Reports, false), false)
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	reply := &Reply{Loaded: q.loaded}
+	if query.Pull && query.Digest != q.digest {
+		reply.Reports = q.reportList()
+	}
+	return reply, nil
+}
+
+func (q *Quarantiner) setLoaded() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.loaded = true
+}
+
+// saveLater has a request in quarantine written to the store. The caller holds the
+// lock.
+func (q *Quarantiner) saveLater(request messenger.Fingerprint) {
+	if q.unsaved == nil {
+		q.unsaved = map[messenger.Fingerprint]bool{}
+	}
+	q.unsaved[request] = true
+	signal(q.wake)
+}
+
+// syncStore reads the store once and writes what it lacks. What fails is tried
+// again.
+func (q *Quarantiner) syncStore(ctx context.Context) {
+	q.mu.Lock()
+	loaded := q.loaded
+	unsaved := make([]messenger.Fingerprint, 0, len(q.unsaved))
+	for request := range q.unsaved {
+		unsaved = append(unsaved, request)
+	}
+	q.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	if !loaded {
+		if err := q.load(ctx); err != nil {
+			q.Log.V(1).Info("quarantines not read", "error", err.Error())
+		}
+	}
+	for _, request := range unsaved {
+		if err := q.save(ctx, request); err != nil {
+			q.Log.V(1).Info("quarantine not written", "request", request.String(), "error", err.Error())
+			return
+		}
+	}
+}
+
+// load reads what is kept in the store, and removes what no longer counts.
+func (q *Quarantiner) load(ctx context.Context) error {
+	entries, err := q.Store.List(ctx, KeyPrefix)
+	if err != nil {
+		return err
+	}
+	for _, e := range entries {
+		var reports []Report
+		if err := msgpack.Unmarshal(e.Value, &reports); err != nil {
+			q.Log.Error(err, "quarantine in the store cannot be read", "key", e.Key)
+			continue
+		}
+		if q.merge(reports, false); !q.keepsAny(reports) {
+			q.remove(ctx, e)
+		}
+	}
+	q.setLoaded()
+	return nil
+}
+
+// keepsAny reports whether any of the reports counts.
+func (q *Quarantiner) keepsAny(reports []Report) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, r := range reports {
+		if _, kept := q.reports[r.ID]; kept {
+			return true
+		}
+	}
+	return false
+}
+
+func (q *Quarantiner) remove(ctx context.Context, e storer.Entry) {
+	if _, err := q.Store.Swap(ctx, e.Key, nil, e.Version, ""); err != nil {
+		q.Log.V(1).Info("old quarantine not removed", "key", e.Key, "error", err.Error())
+	}
+}
+
+// save writes the reports of a request in quarantine. They replace what is there:
+// a later report adds to the earlier ones.
+func (q *Quarantiner) save(ctx context.Context, request messenger.Fingerprint) error {
+	value := messenger.Encode(q.reportsOf(request))
+	key := KeyPrefix + request.String()
+	e, err := q.Store.Get(ctx, key)
+	if err != nil {
+		return err
+	}
+	if _, err := q.Store.Swap(ctx, key, value, e.Version, ""); err != nil {
+		return err
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	delete(q.unsaved, request)
+	return nil
+}
+
+// maxSavedReports bounds the reports of one request in the store.
+const maxSavedReports = 16
+
+// reportsOf returns the crashes of a request, each without the other requests.
+func (q *Quarantiner) reportsOf(request messenger.Fingerprint) []Report {
+	q.mu.Lock()
+	list := q.reportList()
+	q.mu.Unlock()
+	sortByTime(list)
+	var out []Report
+	for _, r := range list {
+		if !r.Completed && r.has(request) && len(out) < maxSavedReports {
+			out = append(out, r.only(request))
+		}
+	}
+	return out
+}
--- a/internal/requestrunner/requestrunner.go
+++ b/internal/requestrunner/requestrunner.go
@@ -28,6 +28,9 @@
 type Runner struct {
 	// Attempt makes one attempt.
 	Attempt func(ctx context.Context, c messenger.Call, attempts *attemptsender.Attempts) (*attemptsender.Response, error)
+	// Admit returns a refusal for a call whose request crashes targets. It may be
+	// nil.
+	Admit func(c *messenger.Call) error
 	// Fence asks an exit node whether it received an attempt whose link broke.
 	Fence func(ctx context.Context, node string, q *messenger.Fence) (*messenger.FenceReply, error)
 	// Retrier decides what may follow a failed attempt.
@@ -53,6 +56,11 @@
 		Try: func(ctx context.Context, try int) (*attemptsender.Response, error) {
 			c := call
 			c.ID = attemptID(x.ID, try)
+			if r.Admit != nil {
+				if err := r.Admit(&c); err != nil {
+					return nil, err
+				}
+			}
 			return r.Attempt(ctx, c, attempts)
 		},
 		IsFailure: (*attemptsender.Response).Failed,
--- a/pkg/coder/code.go
+++ b/pkg/coder/code.go
@@ -73,6 +73,9 @@
 	AnswerTooLarge Code = 308
 	// Suspect marks a target that currently appears to hang or fail.
 	Suspect Code = 309
+	// Quarantined marks a request that crashed each of several targets that ran
+	// it.
+	Quarantined Code = 310
 	// Repeated marks a duplicate delivery of the same call.
 	Repeated Code = 400
 	// RepeatRunning marks a duplicate whose first call is still running.
@@ -154,6 +157,7 @@
 	{TargetLeaving, "target-leaving", http.StatusServiceUnavailable, RanNo, true, "The target takes no new work."},
 	{AnswerTooLarge, "answer-too-large", http.StatusBadGateway, RanUnknown, false, "The head of the answer is beyond the bound."},
 	{Suspect, "suspect", http.StatusServiceUnavailable, RanNo, true, "The targets seem to hang just now; the request was not sent."},
+	{Quarantined, "quarantined", http.StatusServiceUnavailable, RanNo, true, "Targets crashed whenever they ran this request; it is kept from the others."},
 	{Repeated, "repeated", http.StatusConflict, RanUnknown, false, "This arrival of the call is a duplicate and was not run; the first may have."},
 	{RepeatRunning, "repeat-running", http.StatusConflict, RanUnknown, true, "The first call with this idempotency key has not ended."},
 	{RepeatUnknown, "repeat-unknown", http.StatusConflict, RanUnknown, false, "The first call with this idempotency key has no known outcome."},
