quarantiner, admitter: read again

The gauge requests.quarantined counted requests that are free again, and the record of trials kept those of requests that were released. Waiting for a target's rates reads in order.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -1,8 +1,8 @@
 // Package admitter controls, at an exit node, which calls may start at the
 // targets of its VM. For each target it keeps a queue for its slots, a limit of
 // calls in flight and, while the target is cold or states a rate, a limit of calls
-// per second. It
-// reports the outcomes of calls to the outlier detector and the circuit breaker.
+// per second. It reports the outcomes of calls to the outlier detector and the
+// circuit breaker.
 package admitter
 
 import (
--- a/internal/admitter/pacer.go
+++ b/internal/admitter/pacer.go
@@ -65,18 +65,7 @@
 // awaitStart waits until a call may start by all pacers, for at most maxPaceWait.
 // A call that check refuses takes nothing of their rates. Errors are *coder.Error.
 func awaitStart(ctx context.Context, check func() error, pacers ...*pacer) error {
-	var reservations []*rate.Reservation
-	cancel := func() {
-		for _, r := range reservations {
-			r.Cancel()
-		}
-	}
-	var limiters []*rate.Limiter
-	for _, p := range pacers {
-		if l := p.current(); l != nil {
-			limiters = append(limiters, l)
-		}
-	}
+	limiters := currentLimiters(pacers)
 	if len(limiters) == 0 {
 		return nil
 	}
@@ -85,26 +74,38 @@
 			return err
 		}
 	}
+	var reservations []*rate.Reservation
 	wait := time.Duration(0)
 	for _, l := range limiters {
 		r := l.Reserve()
 		reservations, wait = append(reservations, r), max(wait, r.Delay())
 	}
-	if wait > maxPaceWait {
-		cancel()
-		return coder.New(coder.QueueTimeout, "the target's limit of calls per second is reached").WithAfter(wait)
+	err := sleepUntilStart(ctx, wait)
+	if err != nil {
+		for _, r := range reservations {
+			r.Cancel()
+		}
 	}
-	if err := sleepUntilStart(ctx, wait); err != nil {
-		cancel()
-		return err
+	return err
+}
+
+// currentLimiters returns the limiters of the pacers that set a limit.
+func currentLimiters(pacers []*pacer) (limiters []*rate.Limiter) {
+	for _, p := range pacers {
+		if l := p.current(); l != nil {
+			limiters = append(limiters, l)
+		}
 	}
-	return nil
+	return limiters
 }
 
-// sleepUntilStart waits, or returns why the call ended first.
+// sleepUntilStart waits, or returns why the call does not start.
 func sleepUntilStart(ctx context.Context, wait time.Duration) error {
-	if wait == 0 {
+	switch {
+	case wait == 0:
 		return nil
+	case wait > maxPaceWait:
+		return coder.New(coder.QueueTimeout, "the target's limit of calls per second is reached").WithAfter(wait)
 	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -169,12 +169,19 @@
 	q.push([]Report{r}, true)
 }
 
-// Quarantined returns how many requests are in quarantine.
-func (q *Quarantiner) Quarantined() int {
-	if v := q.verdicts.Load(); v != nil {
-		return len(v.quarantinedUntil)
+// Quarantined returns how many requests are in quarantine, or waiting for their
+// trial after one.
+func (q *Quarantiner) Quarantined() (n int) {
+	v := q.verdicts.Load()
+	if v == nil {
+		return 0
+	}
+	for _, until := range v.quarantinedUntil {
+		if time.Since(until) < trialPeriod {
+			n++
+		}
 	}
-	return 0
+	return n
 }
 
 // merge adds reports and returns those that are new. own tells that they are of
@@ -222,6 +229,7 @@
 	}
 	for request := range before.quarantinedUntil {
 		if _, still := v.quarantinedUntil[request]; !still {
+			delete(q.tried, request)
 			q.Tracer.Add(tracer.Event{Kind: "request-released", Fingerprint: request.String()})
 		}
 	}
