node: targets that have reached their stated rate count as full

A target that may start no call looked idle by its slots, so that its data centre kept calls that others had room for, and idempotent calls were hedged at targets in need.

--- a/internal/node/load.go
+++ b/internal/node/load.go
@@ -117,7 +117,7 @@
 			return linker.SendTypedQuery[loadprober.Query, loadprober.Report](ctx, l, node, linker.MethodLoadProbe, q)
 		},
 		OnReport: func(t messenger.Target, report loadprober.Report) {
-			p.RecordLoad(t, messenger.ResponseHead{Queue: report.Queue, InFlight: report.InFlight, Limit: report.Limit})
+			p.RecordLoad(t, reportedLoad(report))
 		},
 		OnProbeError: func(node string, err error) {
 			if linker.IsLinkLost(err) {
@@ -132,6 +132,17 @@
 	return lp
 }
 
+// reportedLoad returns the load that a report stands for. A target that has reached
+// its limit of calls per second has as little room as one without a free slot, so
+// that calls spill over to other data centres and hedges stop.
+func reportedLoad(r loadprober.Report) messenger.ResponseHead {
+	h := messenger.ResponseHead{Queue: r.Queue, InFlight: r.InFlight, Limit: r.Limit}
+	if r.Exhausted {
+		h.Queue = max(h.Queue, h.Limit)
+	}
+	return h
+}
+
 // localLoadReport answers a load probe for a target of this node.
 func localLoadReport(a *admitter.Admitter, r *targetregistrar.Registrar, q *loadprober.Query) loadprober.Report {
 	t, ok := r.Lookup(q.Target)
