--- a/internal/crashwatcher/crashwatcher_test.go
+++ b/internal/crashwatcher/crashwatcher_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -18,6 +19,7 @@
 func TestCrashHoldsItsCalls(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		up := map[string]bool{"b:1": true}
+		var mu sync.Mutex
 		var crashes []Crash
 		w := &Watcher{
 			Dial: func(_ context.Context, address string) (net.Conn, error) {
@@ -27,7 +29,11 @@
 				}
 				return nil, errors.New("refused")
 			},
-			OnCrash: func(c Crash) { crashes = append(crashes, c) },
+			OnCrash: func(c Crash) {
+				mu.Lock()
+				defer mu.Unlock()
+				crashes = append(crashes, c)
+			},
 		}
 		a := messenger.Target{Name: "a", Address: "a:1", Epoch: 1}
 		for _, request := range []messenger.Fingerprint{5, 3, 5, 4} {
@@ -39,6 +45,8 @@
 		a.Epoch = 2
 		w.CallCut(a, 3)
 		time.Sleep(time.Second)
+		mu.Lock()
+		defer mu.Unlock()
 		qt.Assert(t, crashes, qt.HasLen, 2)
 		qt.Check(t, crashes[0].Requests, qt.DeepEquals, []messenger.Fingerprint{3, 4, 5})
 		qt.Check(t, crashes[1].Requests, qt.DeepEquals, []messenger.Fingerprint{3})
