exithandler: a call that breaks off on a kept connection is sent once more at most

Cause: net/http sends a GET on the next kept connection when one breaks before its response, and so goes through all of them, up to sixteen, when their target has just ended. No budget counts these.

Why this works: with a body, if an empty one, net/http leaves the call alone. It is then sent once more, on a new connection, since the target may have closed the kept one without reading; a target that has ended refuses that one.

TestBrokenKeptConnectionsAreTriedOnce failed before with 9 arrivals for 8 kept connections; the request on the wire stays the same, which it checks too. A POST with an Idempotency-Key and no body on an idempotent route can still go through kept connections: an empty body would be sent in chunks there.

--- /dev/null
+++ b/internal/exithandler/pool_test.go
@@ -0,0 +1,80 @@
+package exithandler
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/zinniaproxy/zinniaproxy/internal/faker"
+)
+
+// poolTarget keeps its connections open until it is told to break each one on the
+// next request.
+type poolTarget struct {
+	mu       sync.Mutex
+	breaking bool
+	arrivals int
+	// framings are how the bodies of the requests were delimited.
+	framings map[string]bool
+}
+
+func (t *poolTarget) serveConn(c net.Conn) {
+	defer c.Close()
+	in := bufio.NewReader(c)
+	for fresh := true; ; fresh = false {
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		t.mu.Lock()
+		t.arrivals++
+		t.framings[fmt.Sprintf("%s %d %v", r.Method, r.ContentLength, r.TransferEncoding)] = true
+		breaks := t.breaking && !fresh
+		t.mu.Unlock()
+		if breaks {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+		body := "for " + r.Header.Get(RequestHeader)
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s", RequestHeader, r.Header.Get(RequestHeader), len(body), body)
+	}
+}
+
+// Guards against repeats that no budget pays for: a call that breaks off on a kept
+// connection must not go through all kept connections of its target, one after the
+// other, but to a new one at most.
+func TestBrokenKeptConnectionsAreTriedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := faker.NewNetwork(100 * time.Microsecond)
+		ln, err := n.Listen("t:1")
+		qt.Assert(t, err, qt.IsNil)
+		target := &poolTarget{framings: map[string]bool{}}
+		go serveEach(ln, target.serveConn)
+		s := &Sender{Dialect: OwnDialect(), Dial: n.Dialer("n"), Load: func(string) Load { return Load{} }, Echo: func(string) bool { return true }}
+		var calls sync.WaitGroup
+		for i := range 8 {
+			calls.Go(func() { _, _ = sendOne(s, fmt.Sprintf("r%d", i)) })
+		}
+		calls.Wait()
+		target.mu.Lock()
+		target.breaking, target.arrivals = true, 0
+		target.mu.Unlock()
+		body, err := sendOne(s, "last")
+		qt.Check(t, err, qt.IsNil)
+		qt.Check(t, body, qt.Equals, "for last")
+		qt.Check(t, target.arrivals <= 2, qt.IsTrue, qt.Commentf("%d arrivals of one call", target.arrivals))
+		qt.Check(t, target.framings, qt.DeepEquals, map[string]bool{"GET 0 []": true})
+
+		ln.Close()
+		n.Kill("t")
+		s.Close()
+		time.Sleep(2 * time.Second)
+	})
+}
--- a/internal/exithandler/sender.go
+++ b/internal/exithandler/sender.go
@@ -94,20 +94,12 @@
 func (s *Sender) Send(ctx context.Context, j *Job) error {
 	s.setupOnce.Do(s.initTransports)
 	g := &guard{check: j.CheckBeforeSend}
-	transport := s.unpooled
-	if j.Call.Once {
-		ctx = withGuard(ctx, g)
-	} else {
-		transport = s.pooled
-		ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { g.sent.Store(true) }})
-	}
-	req, err := s.newRequest(ctx, j)
-	if err != nil {
-		return coder.New(coder.BadRequest, "%v", err)
-	}
 	start := time.Now()
-	res, err := transport.RoundTrip(req)
+	res, err := s.roundTrip(ctx, j, g)
 	j.Outcome.Latency = time.Since(start)
+	if e := (*coder.Error)(nil); errors.As(err, &e) {
+		return e
+	}
 	if err != nil {
 		return s.classifyNoResponse(ctx, j, g, err)
 	}
@@ -115,6 +107,34 @@
 	return s.relay(ctx, j, res, start)
 }
 
+// roundTrip sends the call and returns the head of the response. An idempotent call
+// that breaks off on a kept connection is sent once more, on a new one: the target
+// may have closed the kept one before it read the call. A *coder.Error means that
+// the call is not a valid request.
+func (s *Sender) roundTrip(ctx context.Context, j *Job, g *guard) (*http.Response, error) {
+	if j.Call.Once {
+		return s.roundTripOn(withGuard(ctx, g), j, s.unpooled)
+	}
+	kept := false
+	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		g.sent.Store(true)
+		kept = info.Reused
+	}})
+	res, err := s.roundTripOn(traced, j, s.pooled)
+	if err == nil || !kept || ctx.Err() != nil {
+		return res, err
+	}
+	return s.roundTripOn(ctx, j, s.unpooled)
+}
+
+func (s *Sender) roundTripOn(ctx context.Context, j *Job, transport *http.Transport) (*http.Response, error) {
+	req, err := s.newRequest(ctx, j)
+	if err != nil {
+		return nil, coder.New(coder.BadRequest, "%v", err)
+	}
+	return transport.RoundTrip(req)
+}
+
 // classifyNoResponse sets the result of a call that got no response head and
 // returns the refusal.
 func (s *Sender) classifyNoResponse(ctx context.Context, j *Job, g *guard, err error) error {
@@ -177,14 +197,21 @@
 	set(d.TimeoutHeader, strconv.FormatInt(remaining, 10))
 	set(d.InstanceHeader, j.Target.Instance)
 	set(d.OriginHeader, c.Origin)
-	if len(c.Body) > 0 {
-		// GetBody stays nil, so that net/http cannot send the body twice.
+	// With a body, if an empty one, and without GetBody net/http never sends a
+	// request twice. It would go through all kept connections.
+	if len(c.Body) > 0 || resendsWithoutBody(c.Method) {
 		req.Body = io.NopCloser(bytes.NewReader(c.Body))
 		req.ContentLength = int64(len(c.Body))
 	}
 	return req, nil
 }
 
+// resendsWithoutBody reports whether net/http sends requests of a method again if
+// they have no body. An empty body changes nothing else for these methods.
+func resendsWithoutBody(method string) bool {
+	return method == http.MethodGet || method == http.MethodHead || method == http.MethodOptions
+}
+
 // relay validates the response to a call sent at a time and passes it to
 // j.Response, or returns a refusal.
 func (s *Sender) relay(ctx context.Context, j *Job, res *http.Response, sent time.Time) error {
