exithandler: connections in use are not taken for closed ones

Only a connection that was idle for half a second or more may have been closed for that; other breaks go to the retrier, whose budget counts them. The other idle connections are closed too, since the process at their end may be gone.

--- a/internal/exithandler/sender.go
+++ b/internal/exithandler/sender.go
@@ -35,6 +35,9 @@
 	maxPieceBytes        = 32 << 10
 	maxResponseHeadBytes = 64 << 10
 	idleConnTimeout      = 30 * time.Second
+	// minIdleTime is how long a connection was idle at least if the target may
+	// have closed it for that.
+	minIdleTime = 500 * time.Millisecond
 )
 
 // Sender sends calls to targets over HTTP. Set the fields before the first call.
@@ -108,22 +111,26 @@
 }
 
 // roundTrip sends the call and returns the head of the response. An idempotent call
-// that breaks off on a kept connection is sent once more, on a new one: the target
-// may have closed the kept one before it read the call. A *coder.Error means that
-// the call is not a valid request.
+// that breaks off on a connection which was idle before is sent once more, on a new
+// one: the target may have closed the idle one before it read the call. A
+// *coder.Error means that the call is not a valid request.
 func (s *Sender) roundTrip(ctx context.Context, j *Job, g *guard) (*http.Response, error) {
 	if j.Call.Once {
 		return s.roundTripOn(withGuard(ctx, g), j, s.unpooled)
 	}
-	kept := false
+	var conn httptrace.GotConnInfo
 	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		g.sent.Store(true)
-		kept = info.Reused
+		conn = info
 	}})
 	res, err := s.roundTripOn(traced, j, s.pooled)
-	if err == nil || !kept || ctx.Err() != nil {
+	if err == nil || !conn.Reused || ctx.Err() != nil {
 		return res, err
 	}
+	s.pooled.CloseIdleConnections() // the process at their other end may be gone
+	if conn.IdleTime < minIdleTime {
+		return nil, err
+	}
 	return s.roundTripOn(ctx, j, s.unpooled)
 }
 
