quarantiner: a large fleet that starts reads the store a few times, not once a node

Of the nodes that do not know it yet some twenty a second read it now, and the others ask them. TestAllNodesRefuseWithinASecond counts the reads: 300 nodes read it at most 100 times, which fails without the change.

--- a/internal/quarantiner/quarantiner_test.go
+++ b/internal/quarantiner/quarantiner_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -16,12 +17,15 @@
 	"github.com/zinniaproxy/zinniaproxy/internal/faker"
 	"github.com/zinniaproxy/zinniaproxy/internal/messenger"
 	"github.com/zinniaproxy/zinniaproxy/internal/sampler"
+	"github.com/zinniaproxy/zinniaproxy/internal/storer"
 	"github.com/zinniaproxy/zinniaproxy/pkg/coder"
 )
 
 // fleet is quarantiners that reach each other unless they are cut off.
 type fleet struct {
 	store *faker.Store
+	// reads counts the reads of the store by all nodes.
+	reads atomic.Int64
 	names map[string][]string
 	stops []context.CancelFunc
 
@@ -74,6 +78,11 @@
 		},
 		Store: f.store.Client(), Log: logr.Discard(),
 	}
+	list := q.Store.List
+	q.Store.List = func(ctx context.Context, prefix string) ([]storer.Entry, error) {
+		f.reads.Add(1)
+		return list(ctx, prefix)
+	}
 	f.mu.Lock()
 	f.nodes[name] = q
 	f.mu.Unlock()
@@ -121,6 +130,7 @@
 // known to crash targets: all know it within a second.
 func TestAllNodesRefuseWithinASecond(t *testing.T) {
 	run(t, 300, func(t *testing.T, f *fleet) {
+		qt.Check(t, f.reads.Load() <= 100, qt.IsTrue, qt.Commentf("%d reads of the store", f.reads.Load()))
 		fatal, other := &messenger.Call{URI: "/fatal"}, &messenger.Call{URI: "/other"}
 		f.crash(fatal)
 		time.Sleep(time.Second)
--- a/internal/quarantiner/spread.go
+++ b/internal/quarantiner/spread.go
@@ -30,6 +30,9 @@
 	// loadSpread bounds the random delay of the first read of the store, in which
 	// a node that is already loaded spares the others the call.
 	loadSpread = time.Second
+	// readsPerInterval is how many of the nodes that do not know what is in the
+	// store read it in each minStoreInterval.
+	readsPerInterval = 20
 	// minStoreInterval and maxStoreInterval bound the time between two tries to
 	// read or write the store, which doubles while they fail.
 	minStoreInterval = time.Second
@@ -73,6 +76,10 @@
 		case <-ctx.Done():
 			return
 		case <-timer.C:
+			if q.leaveReadToOthers() {
+				timer.Reset(minStoreInterval)
+				continue
+			}
 		case <-wake:
 			interval = minStoreInterval
 		}
@@ -84,6 +91,19 @@
 	}
 }
 
+// leaveReadToOthers reports whether this node should not read the store yet, so
+// that a large fleet whose nodes all start does not read it once for each.
+func (q *Quarantiner) leaveReadToOthers() bool {
+	q.mu.Lock()
+	loaded := q.loaded
+	q.mu.Unlock()
+	nodes := 0
+	for _, names := range q.Sampler.Alive() {
+		nodes += len(names)
+	}
+	return !loaded && rand.N(max(nodes, 1)) >= readsPerInterval
+}
+
 // channels returns the channels that signal a quarantine to save and a new report.
 func (q *Quarantiner) channels() (wake, news chan struct{}) {
 	q.mu.Lock()
