--- a/internal/limiter/sweep_test.go
+++ b/internal/limiter/sweep_test.go
@@ -36,10 +36,7 @@
 			over := excess(admitted, rateLimit{1, 30})
 			c.Check(over < 1e-6, qt.IsTrue, qt.Commentf("handed %v: %.1f too many", handed, over))
 			time.Sleep(time.Minute)
-			_, first := firstShare("jos")
-			n.holder.mu.RLock()
-			defer n.holder.mu.RUnlock()
-			c.Check(n.holder.held[first].accounts, qt.HasLen, 0)
+			c.Check(n.accountCount("jos"), qt.Equals, 0)
 			f.close()
 		})
 	}
@@ -61,3 +58,15 @@
 	n.kill()
 	return f.runningNodes()[0]
 }
+
+// accountCount returns how many accounts the node keeps in a workspace's first
+// share.
+func (n *node) accountCount(workspace string) int {
+	_, first := firstShare(workspace)
+	n.holder.mu.RLock()
+	defer n.holder.mu.RUnlock()
+	s := n.holder.held[first]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.accounts)
+}
