exithandler: empty calls with an Idempotency-Key do not go through kept connections

What callers saw: nothing that was reported.

Cause: net/http sends such calls again on the next kept connection. What keeps it from that for GET, an empty body, would change how these are framed.

Evidence: TestBrokenKeptConnectionsAreTriedOnce, two new cases: 9 arrivals for 8 kept connections before, 1 now. The case with a body had 1 before too.

--- a/internal/exithandler/pool_test.go
+++ b/internal/exithandler/pool_test.go
@@ -13,6 +13,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/zinniaproxy/zinniaproxy/internal/faker"
+	"github.com/zinniaproxy/zinniaproxy/internal/messenger"
 )
 
 // poolTarget keeps its connections open until it is told to break each one on the
@@ -51,12 +52,22 @@
 // connection must not go through all kept connections of its target, one after the
 // other. Only where the target may have closed an idle one it is sent once more.
 func TestBrokenKeptConnectionsAreTriedOnce(t *testing.T) {
+	keyed := []messenger.Field{{Name: "Idempotency-Key", Value: "k"}}
 	for _, tc := range []struct {
+		name     string
+		call     messenger.Call
 		idle     time.Duration
 		arrivals int
 		served   bool
-	}{{0, 1, false}, {2 * minIdleTime, 2, true}} {
-		t.Run(tc.idle.String(), func(t *testing.T) {
+		framing  string
+	}{
+		{"in use", messenger.Call{Method: http.MethodGet}, 0, 1, false, "GET 0 []"},
+		{"idle", messenger.Call{Method: http.MethodGet}, 2 * minIdleTime, 2, true, "GET 0 []"},
+		{"POST with a key and no body", messenger.Call{Method: http.MethodPost, Header: keyed}, 0, 1, true, "POST 0 []"},
+		{"POST with a key", messenger.Call{Method: http.MethodPost, Header: keyed, Body: []byte("b")}, 0, 1, false, "POST 1 []"},
+		{"TRACE", messenger.Call{Method: http.MethodTrace}, 0, 1, true, "TRACE 0 []"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				n := faker.NewNetwork(100 * time.Microsecond)
 				ln, err := n.Listen("t:1")
@@ -73,11 +84,13 @@
 				target.mu.Lock()
 				target.breaking, target.arrivals = true, 0
 				target.mu.Unlock()
-				_, err = sendOne(s, "last")
+				call := tc.call
+				call.Request, call.URI = "last", "/"
+				_, err = sendCall(s, &call)
 				qt.Check(t, err == nil, qt.Equals, tc.served, qt.Commentf("%v", err))
 				target.mu.Lock()
 				qt.Check(t, target.arrivals, qt.Equals, tc.arrivals)
-				qt.Check(t, target.framings, qt.DeepEquals, map[string]bool{"GET 0 []": true})
+				qt.Check(t, target.framings, qt.DeepEquals, map[string]bool{"GET 0 []": true, tc.framing: true})
 				target.mu.Unlock()
 
 				ln.Close()
--- a/internal/exithandler/sender.go
+++ b/internal/exithandler/sender.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -61,8 +62,7 @@
 }
 
 // initTransports creates the transports. Each non-idempotent call gets a new
-// connection: net/http resends a request when a pooled connection turns out to
-// be closed, and a pooled connection may have gone silent.
+// connection: a pooled one may turn out to be closed or have gone silent.
 func (s *Sender) initTransports() {
 	dial := func(ctx context.Context, _, address string) (net.Conn, error) { return s.Dial(ctx, address) }
 	s.pooled = &http.Transport{
@@ -115,7 +115,7 @@
 // one: the target may have closed the idle one before it read the call. A
 // *coder.Error means that the call is not a valid request.
 func (s *Sender) roundTrip(ctx context.Context, j *Job, g *guard) (*http.Response, error) {
-	if j.Call.Once {
+	if j.Call.Once || resentByTransport(j.Call) {
 		return s.roundTripOn(withGuard(ctx, g), j, s.unpooled)
 	}
 	var conn httptrace.GotConnInfo
@@ -205,17 +205,28 @@
 	set(d.InstanceHeader, j.Target.Instance)
 	set(d.OriginHeader, c.Origin)
 	// With a body, if an empty one, and without GetBody net/http never sends a
-	// request twice. It would go through all kept connections.
-	if len(c.Body) > 0 || resendsWithoutBody(c.Method) {
+	// request twice.
+	if len(c.Body) > 0 || acceptsEmptyBody(c.Method) {
 		req.Body = io.NopCloser(bytes.NewReader(c.Body))
 		req.ContentLength = int64(len(c.Body))
 	}
 	return req, nil
 }
 
-// resendsWithoutBody reports whether net/http sends requests of a method again if
-// they have no body. An empty body changes nothing else for these methods.
-func resendsWithoutBody(method string) bool {
+// resentByTransport reports whether net/http would send a call again on each kept
+// connection that breaks, and no empty body keeps it from that.
+func resentByTransport(c *messenger.Call) bool {
+	if len(c.Body) > 0 || acceptsEmptyBody(c.Method) {
+		return false
+	}
+	return c.Method == http.MethodTrace || slices.ContainsFunc(c.Header, func(f messenger.Field) bool {
+		return f.Name == "Idempotency-Key" || f.Name == "X-Idempotency-Key"
+	})
+}
+
+// acceptsEmptyBody reports whether an empty body changes nothing in how a request
+// of a method is sent.
+func acceptsEmptyBody(method string) bool {
 	return method == http.MethodGet || method == http.MethodHead || method == http.MethodOptions
 }
 
--- a/internal/exithandler/sender_test.go
+++ b/internal/exithandler/sender_test.go
@@ -88,13 +88,18 @@
 
 // sendOne sends one request and returns the complete response body.
 func sendOne(s *Sender, id string) (string, error) {
+	return sendCall(s, &messenger.Call{Request: id, Method: http.MethodGet, URI: "/"})
+}
+
+// sendCall sends a call and returns the body of its response.
+func sendCall(s *Sender, call *messenger.Call) (string, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
 	defer cancel()
 	var body []byte
 	complete := false
 	deadline, _ := ctx.Deadline()
 	err := s.Send(ctx, &Job{
-		Call:     &messenger.Call{Request: id, Method: http.MethodGet, URI: "/"},
+		Call:     call,
 		Target:   messenger.Target{Name: "t", Address: "t:1", Service: "s"},
 		Deadline: deadline,
 		Response: ResponseSink{
