loadprober: idle targets that are not suspected get non-idempotent calls while callers fail

Cause: an idle target was tried only with a call that may be repeated, and only where calls of its own service had failed at that entry.

What else idles: 10.1.0.41 had no call from 5.1 to 10.0 s at a risk of 0.12, so nothing was held against it. 10.1.0.42, 43 and 47 had risks of 0.5 to 0.65 in that time and one call in two to three seconds each; these still get only calls that may be repeated, so the rule can break where hardly any of those come.

Why it works: trouble is counted by route too, and such a call goes to the longest idle of the probed targets whose risk is at most that at which any call is admitted.

--- a/internal/breaker/breaker.go
+++ b/internal/breaker/breaker.go
@@ -49,10 +49,10 @@
 
 // Parameters of admission.
 const (
-	// maxNonIdempotentRisk is the highest risk at which a non-idempotent call
+	// MaxNonIdempotentRisk is the highest risk at which a non-idempotent call
 	// is admitted, MaxRelaxedNonIdempotentRisk the same after other targets
 	// were worse.
-	maxNonIdempotentRisk        = 0.3
+	MaxNonIdempotentRisk        = 0.3
 	MaxRelaxedNonIdempotentRisk = 0.6
 	// maxIdempotentRisk is the highest risk at which all idempotent calls are
 	// admitted. Above it one trial call is admitted each trialInterval, and those
@@ -174,7 +174,7 @@
 	case c.NonIdempotent && c.RelaxRiskLimit:
 		return risk <= MaxRelaxedNonIdempotentRisk
 	case c.NonIdempotent:
-		return risk <= maxNonIdempotentRisk
+		return risk <= MaxNonIdempotentRisk
 	case c.RelaxRiskLimit:
 		return true // a refusal would be final, and a trial can be repeated
 	}
@@ -185,10 +185,10 @@
 // calls are admitted again.
 func retryAfter(risk float64) time.Duration {
 	const stationary = StationaryRisk
-	if risk <= maxNonIdempotentRisk || maxNonIdempotentRisk <= stationary {
+	if risk <= MaxNonIdempotentRisk || MaxNonIdempotentRisk <= stationary {
 		return trialInterval
 	}
-	seconds := math.Log((risk-stationary)/(maxNonIdempotentRisk-stationary)) / riskDecayPerSecond()
+	seconds := math.Log((risk-stationary)/(MaxNonIdempotentRisk-stationary)) / riskDecayPerSecond()
 	return min(max(time.Duration(seconds*float64(time.Second)), trialInterval), maxRetryAfter)
 }
 
--- a/internal/loadprober/loadprober.go
+++ b/internal/loadprober/loadprober.go
@@ -103,7 +103,7 @@
 	OnReport     func(t messenger.Target, r Report)
 	OnProbeError func(node string, err error)
 
-	services services
+	troubles troubles
 }
 
 // candidate is a probed target with its score. The lowest score is best.
@@ -112,15 +112,29 @@
 	score, risk float64
 	// sufficient tells that no further targets need to be probed.
 	sufficient bool
-	// idle is a probed target that has gone without calls for idleTime, at least
-	// trialIdleTime, or nil.
-	idle     *messenger.Target
-	idleTime time.Duration
+	// idle is the probed target that has gone without calls for longest, and
+	// soundIdle that of those which are not suspected.
+	idle, soundIdle idleTarget
 }
 
-// Choose returns the target for an attempt. While calls of the service fail, a
-// target that has gone without calls is tried with an idempotent one, so that none
-// stays out for longer than its episode while callers are refused. If all probed
+// idleTarget is a target that has gone without calls for a time, at least
+// trialIdleTime. The zero value is none.
+type idleTarget struct {
+	target messenger.Target
+	time   time.Duration
+}
+
+func longestIdle(a, b idleTarget) idleTarget {
+	if a.time > b.time {
+		return a
+	}
+	return b
+}
+
+// Choose returns the target for an attempt. While calls of the service or of the
+// route fail, a target that has gone without calls is tried, so that none stays out
+// for longer than its episode while callers are refused: any with an idempotent
+// call, and one that is not suspected with a non-idempotent one. If all probed
 // targets are likely to hang, a non-idempotent call goes to one that is idle, or
 // else is refused at once. The error is a *coder.Error with code NoTarget or
 // Suspect.
@@ -129,10 +143,12 @@
 	switch {
 	case !ok:
 		return messenger.Target{}, coder.New(coder.NoTarget, "service %s has no eligible target", c.Service)
-	case !c.Once && best.idle != nil && p.services.inTrouble(c.Service):
-		return *best.idle, nil
-	case c.Once && best.risk > breaker.MaxRelaxedNonIdempotentRisk && best.idleTime >= breaker.MaxIdleTime:
-		return *best.idle, nil
+	case !c.Once && best.idle.time > 0 && p.troubles.include(c):
+		return best.idle.target, nil
+	case c.Once && best.soundIdle.time > 0 && p.troubles.include(c):
+		return best.soundIdle.target, nil
+	case c.Once && best.risk > breaker.MaxRelaxedNonIdempotentRisk && best.idle.time >= breaker.MaxIdleTime:
+		return best.idle.target, nil
 	case c.Once && best.risk > breaker.MaxRelaxedNonIdempotentRisk:
 		return messenger.Target{}, coder.New(coder.Suspect, "all probed targets are likely to hang, the best with risk %.2f", best.risk).WithAfter(suspectRetryAfter)
 	}
@@ -153,13 +169,11 @@
 		tried = append(tried[:len(tried):len(tried)], t.Name)
 	}
 	remote, ok := p.bestCandidate(ctx, c, p.Candidates(c.Service, tried, maxProbes, true))
-	if best.idleTime > remote.idleTime {
-		remote.idle, remote.idleTime = best.idle, best.idleTime
-	}
+	idle, soundIdle := longestIdle(best.idle, remote.idle), longestIdle(best.soundIdle, remote.soundIdle)
 	if ok && remote.score+minRemoteGain < best.score {
-		return remote, true
+		best = remote
 	}
-	best.idle, best.idleTime = remote.idle, remote.idleTime
+	best.idle, best.soundIdle = idle, soundIdle
 	return best, true
 }
 
@@ -175,11 +189,14 @@
 		}
 	}
 	var best candidate
-	var idle *messenger.Target
-	var idleTime time.Duration
+	var idle, soundIdle idleTarget
 	for i, report := range p.probeAll(ctx, targets) {
-		if report != nil && !report.Unavailable && !report.Exhausted && report.IdleTime > max(idleTime, trialIdleTime) {
-			idle, idleTime = &targets[i], report.IdleTime
+		if report != nil && !report.Unavailable && !report.Exhausted && report.IdleTime > trialIdleTime {
+			it := idleTarget{targets[i], report.IdleTime}
+			idle = longestIdle(idle, it)
+			if report.Risk <= breaker.MaxNonIdempotentRisk {
+				soundIdle = longestIdle(soundIdle, it)
+			}
 		}
 		sc := score(c, report)
 		if i == 0 || sc < best.score {
@@ -190,7 +207,7 @@
 			}
 		}
 	}
-	best.idle, best.idleTime = idle, idleTime
+	best.idle, best.soundIdle = idle, soundIdle
 	return best, true
 }
 
--- a/internal/loadprober/rate_test.go
+++ b/internal/loadprober/rate_test.go
@@ -29,7 +29,7 @@
 		OnReport: func(messenger.Target, Report) {}, OnProbeError: func(string, error) {},
 	}
 	for range 50 {
-		p.RecordOutcome("s", false)
+		p.RecordOutcome(&messenger.Call{Service: "s"}, false)
 	}
 	for _, once := range []bool{false, true} {
 		chosen, err := p.Choose(t.Context(), &messenger.Call{Service: "s", Once: once}, nil)
--- a/internal/loadprober/trouble.go
+++ b/internal/loadprober/trouble.go
@@ -1,24 +1,32 @@
 package loadprober
 
 import (
+	"maps"
 	"math"
 	"sync"
 	"time"
+
+	"github.com/zinniaproxy/zinniaproxy/internal/messenger"
 )
 
 const (
 	// outcomeDecayTime is the time in which the weight of an outcome decays to
 	// 1/e.
 	outcomeDecayTime = 2 * time.Second
-	// maxCalmFailures is the share of failed attempts above which a service is in
-	// trouble.
+	// maxCalmFailures is the share of failed attempts above which a service or a
+	// route is in trouble.
 	maxCalmFailures = 0.08
+	// outcomeRetention is how long the outcomes of a service or a route without
+	// attempts are kept.
+	outcomeRetention = 30 * time.Second
 )
 
-// services holds the recent outcomes of the attempts at each service.
-type services struct {
-	mu       sync.Mutex
-	outcomes map[string]*outcomes
+// troubles holds the recent outcomes of the attempts at each service and of each
+// route.
+type troubles struct {
+	mu               sync.Mutex
+	services, routes map[string]*outcomes
+	lastSweep        time.Time
 }
 
 // outcomes are decayed counts of attempts as of updatedAt.
@@ -32,18 +40,35 @@
 	o.good, o.failed, o.updatedAt = o.good*factor, o.failed*factor, now
 }
 
-// RecordOutcome records whether an attempt at a service got a good answer.
-func (p *Prober) RecordOutcome(service string, good bool) {
-	s, now := &p.services, time.Now()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	o := s.outcomes[service]
+// RecordOutcome records whether an attempt got a good answer.
+func (p *Prober) RecordOutcome(c *messenger.Call, good bool) {
+	t, now := &p.troubles, time.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.services == nil {
+		t.services, t.routes = map[string]*outcomes{}, map[string]*outcomes{}
+	}
+	record(t.services, c.Service, good, now)
+	record(t.routes, c.Route, good, now)
+	t.sweep(now)
+}
+
+// sweep drops old outcomes. The caller holds the lock.
+func (t *troubles) sweep(now time.Time) {
+	if now.Sub(t.lastSweep) < outcomeRetention {
+		return
+	}
+	t.lastSweep = now
+	for _, byName := range []map[string]*outcomes{t.services, t.routes} {
+		maps.DeleteFunc(byName, func(_ string, o *outcomes) bool { return now.Sub(o.updatedAt) >= outcomeRetention })
+	}
+}
+
+func record(byName map[string]*outcomes, name string, good bool, now time.Time) {
+	o := byName[name]
 	if o == nil {
-		if s.outcomes == nil {
-			s.outcomes = map[string]*outcomes{}
-		}
 		o = &outcomes{updatedAt: now}
-		s.outcomes[service] = o
+		byName[name] = o
 	}
 	o.decay(now)
 	if good {
@@ -53,15 +78,20 @@
 	}
 }
 
-// inTrouble reports whether more than maxCalmFailures of the recent attempts at a
-// service failed.
-func (s *services) inTrouble(service string) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	o := s.outcomes[service]
+// include reports whether more than maxCalmFailures of the recent attempts at the
+// call's service failed, or of those of its route, whose other services may be the
+// ones that fail.
+func (t *troubles) include(c *messenger.Call) bool {
+	now := time.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.services[c.Service].inTrouble(now) || t.routes[c.Route].inTrouble(now)
+}
+
+func (o *outcomes) inTrouble(now time.Time) bool {
 	if o == nil {
 		return false
 	}
-	o.decay(time.Now())
+	o.decay(now)
 	return o.failed > maxCalmFailures*(o.good+o.failed)
 }
--- a/internal/node/load.go
+++ b/internal/node/load.go
@@ -93,14 +93,14 @@
 	return func(ctx context.Context, c *messenger.Call, tried []string) (messenger.Target, func(attemptsender.Outcome), error) {
 		t, err := lp.Choose(ctx, c, tried)
 		if err != nil {
-			lp.RecordOutcome(c.Service, false)
+			lp.RecordOutcome(c, false)
 			return t, nil, err
 		}
 		c.RelaxRiskLimit = true // the best of several targets may have a higher risk
 		done := p.Begin(t)
 		return t, func(o attemptsender.Outcome) {
 			if !isCanceled(o.Err) {
-				lp.RecordOutcome(c.Service, o.Err == nil && o.Status < http.StatusInternalServerError)
+				lp.RecordOutcome(c, o.Err == nil && o.Status < http.StatusInternalServerError)
 			}
 			done(pickerOutcome(t, o))
 		}, nil
