quarantiner: operators can list and release requests in quarantine

What callers would see: a request that was blamed wrongly, or whose target was repaired, is refused with code 310 for ten minutes, after failed trials for up to a week; a restart of all nodes did not help, since the store keeps it.

The node that is asked reports that the request completed, by a clock that is not behind that of any crash, so that all nodes clear it as they do after a trial. It takes the request out of the store, and tries again while the store is down; a trial that ends a quarantine now does so too.

Evidence: TestReleasedRequestIsFree, on nine nodes: free on all within a second, on a node that joins, and after a restart of all; another request stays in quarantine; three more crashes put the first one back. The test's store is down at the release.

--- a/internal/adminserver/adminserver.go
+++ b/internal/adminserver/adminserver.go
@@ -17,6 +17,7 @@
 
 	"github.com/zinniaproxy/zinniaproxy/internal/indexer"
 	"github.com/zinniaproxy/zinniaproxy/internal/messenger"
+	"github.com/zinniaproxy/zinniaproxy/internal/quarantiner"
 	"github.com/zinniaproxy/zinniaproxy/internal/targetregistrar"
 	"github.com/zinniaproxy/zinniaproxy/internal/tracer"
 	"github.com/zinniaproxy/zinniaproxy/pkg/coder"
@@ -41,6 +42,11 @@
 	// Targets returns the known targets of a service, or of all services for
 	// "".
 	Targets func(service string) []messenger.Target
+	// Quarantine returns the requests that are kept from targets.
+	Quarantine func() []quarantiner.Entry
+	// Release ends the quarantine of a request on all nodes, and reports whether it
+	// was in quarantine.
+	Release func(request messenger.Fingerprint) bool
 	// Registrar handles announcements.
 	Registrar *targetregistrar.Registrar
 	// Metrics is the node's metrics registry.
@@ -90,6 +96,13 @@
 	Keys   []string `json:"keys"`
 }
 
+// QuarantineView is a request that is kept from targets, by its fingerprint.
+type QuarantineView struct {
+	Request string    `json:"request"`
+	Until   time.Time `json:"until"`
+	Crashes int       `json:"crashes"`
+}
+
 // Handler returns the handler of the admin API.
 func (s *Server) Handler() http.Handler {
 	ws := new(restful.WebService)
@@ -102,6 +115,8 @@
 	ws.Route(ws.GET("/nodes").To(s.nodes))
 	ws.Route(ws.GET("/targets").To(s.targets))
 	ws.Route(ws.GET("/workspaces").To(s.workspaces))
+	ws.Route(ws.GET("/quarantine").To(s.quarantine))
+	ws.Route(ws.DELETE("/quarantine/{request}").Consumes("*/*").To(s.release))
 	ws.Route(ws.GET("/configuration").To(s.configuration))
 	ws.Route(ws.GET("/declaration").To(s.declaration))
 	ws.Route(ws.PUT("/targets/{service}/{address}").Consumes("*/*").To(s.announce))
@@ -191,6 +206,23 @@
 	writeJSON(res, out)
 }
 
+func (s *Server) quarantine(_ *restful.Request, res *restful.Response) {
+	out := []QuarantineView{}
+	for _, e := range s.Quarantine() {
+		out = append(out, QuarantineView{e.Request.String(), e.Until, e.Crashes})
+	}
+	writeJSON(res, out)
+}
+
+func (s *Server) release(req *restful.Request, res *restful.Response) {
+	request, err := messenger.ParseFingerprint(req.PathParameter("request"))
+	if err != nil || !s.Release(request) {
+		res.WriteHeader(http.StatusNotFound)
+		return
+	}
+	res.WriteHeader(http.StatusNoContent)
+}
+
 func (s *Server) configuration(_ *restful.Request, res *restful.Response) {
 	var number uint64
 	if index := s.Index(); index != nil {
--- a/internal/commander/show.go
+++ b/internal/commander/show.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
@@ -33,13 +34,13 @@
 	var f showFlags
 	return c.command("show", func(ctx context.Context, args []string) error {
 		queries := map[string]func(context.Context, showFlags) (showResult, error){
-			"nodes": showNodes, "targets": showTargets, "workspaces": showWorkspaces, "configuration": showConfiguration,
+			"nodes": showNodes, "targets": showTargets, "workspaces": showWorkspaces, "quarantine": showQuarantine, "configuration": showConfiguration,
 		}
 		if len(args) == 1 && args[0] == "declaration" {
 			return c.showDeclaration(ctx, f.admin)
 		}
 		if len(args) != 1 || queries[args[0]] == nil {
-			return coder.New(coder.BadSettings, "argument: must be nodes, targets, workspaces, configuration or declaration")
+			return coder.New(coder.BadSettings, "argument: must be nodes, targets, workspaces, quarantine, configuration or declaration")
 		}
 		v, err := queries[args[0]](ctx, f)
 		if err != nil {
@@ -96,6 +97,15 @@
 	return showResult{workspaces, sortRows(rows)}, err
 }
 
+func showQuarantine(ctx context.Context, f showFlags) (showResult, error) {
+	entries, err := newViewer().Quarantine(ctx, f.admin)
+	rows := [][]string{{"request", "until", "crashes"}}
+	for _, e := range entries {
+		rows = append(rows, []string{e.Request, e.Until.UTC().Format(time.RFC3339), strconv.Itoa(e.Crashes)})
+	}
+	return showResult{entries, sortRows(rows)}, err
+}
+
 func showConfiguration(ctx context.Context, f showFlags) (showResult, error) {
 	v := newViewer()
 	admins, err := v.Admins(ctx, []string{f.admin})
--- a/internal/messenger/fingerprint.go
+++ b/internal/messenger/fingerprint.go
@@ -13,6 +13,12 @@
 // String returns the form used in events.
 func (f Fingerprint) String() string { return strconv.FormatUint(uint64(f), 36) }
 
+// ParseFingerprint returns the fingerprint of a form used in events.
+func ParseFingerprint(s string) (Fingerprint, error) {
+	n, err := strconv.ParseUint(s, 36, 64)
+	return Fingerprint(n), err
+}
+
 // Fingerprint returns the fingerprint of the call's request.
 func (c *Call) Fingerprint() Fingerprint {
 	var d xxhash.Digest
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -24,7 +24,7 @@
 	registerLinkMetrics(m, c.Linker, c.Prober)
 	registerTargetMetrics(m, c.Gossiper)
 	m.Gauge("targets.limited", func() int64 { return int64(c.Admitter.LimitedTargets()) })
-	m.Gauge("requests.quarantined", func() int64 { return int64(c.Quarantiner.Quarantined()) })
+	m.Gauge("requests.quarantined", func() int64 { return int64(len(c.Quarantiner.Entries())) })
 	m.Gauge("targets.crashed", c.CrashWatcher.Crashes)
 	m.Gauge("queue.waiting", func() int64 { return int64(c.Admitter.Loads().Queue) })
 	m.Gauge("queue.flying", func() int64 { return int64(c.Admitter.Loads().InFlight) })
--- a/internal/node/provide.go
+++ b/internal/node/provide.go
@@ -141,9 +141,10 @@
 // several round trips.
 const firstConfigurationTimeout = 400 * time.Millisecond
 
-func newAdminServer(s settingsloader.Settings, cfg *configurer.Configurer, ms *Membership, r *targetregistrar.Registrar, dr *drainer.Drainer, li *limiter.Limiter, m *measurer.Measurer, t *tracer.Tracer) *adminserver.Server {
+func newAdminServer(s settingsloader.Settings, cfg *configurer.Configurer, ms *Membership, r *targetregistrar.Registrar, dr *drainer.Drainer, li *limiter.Limiter, q *quarantiner.Quarantiner, m *measurer.Measurer, t *tracer.Tracer) *adminserver.Server {
 	return &adminserver.Server{
 		Index: cfg.Index, Nodes: ms.Nodes, Targets: ms.Gossiper.Targets, Registrar: r, Metrics: m.Registry, Tracer: t,
+		Quarantine: q.Entries, Release: q.Release,
 		Digest: func() string { return cfg.Head().Manifest.String() },
 		NotReadyReason: func() string {
 			switch {
--- a/internal/node/wire_gen.go
+++ b/internal/node/wire_gen.go
@@ -42,7 +42,7 @@
 	limiterLimiter := newLimiter(s, epoch, p, configurer, prober, tracer)
 	runner := newRequestRunner(attemptsenderSender, linker, retrier, recorder, quarantiner)
 	entryhandlerHandler := newEntryHandler(s, epoch, p, limiter, configurer, authenticator, limiterLimiter, prober, runner, drainer, measurer, tracer)
-	server := newAdminServer(s, configurer, membership, registrar, drainer, limiterLimiter, measurer, tracer)
+	server := newAdminServer(s, configurer, membership, registrar, drainer, limiterLimiter, quarantiner, measurer, tracer)
 	memberRecorder := newMemberRecorder(p, prober)
 	nodeComponents := components{
 		Settings:            s,
--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -169,21 +169,6 @@
 	q.push([]Report{r}, true)
 }
 
-// Quarantined returns how many requests are in quarantine, or waiting for their
-// trial after one.
-func (q *Quarantiner) Quarantined() (n int) {
-	v := q.verdicts.Load()
-	if v == nil {
-		return 0
-	}
-	for _, until := range v.quarantinedUntil {
-		if time.Since(until) < trialPeriod {
-			n++
-		}
-	}
-	return n
-}
-
 // merge adds reports and returns those that are new. own tells that they are of
 // this node, which then keeps in the store what they put into quarantine.
 func (q *Quarantiner) merge(reports []Report, own bool) (added []Report) {
@@ -231,6 +216,9 @@
 		if _, still := v.quarantinedUntil[request]; !still {
 			delete(q.tried, request)
 			q.Tracer.Add(tracer.Event{Kind: "request-released", Fingerprint: request.String()})
+			if own && slices.ContainsFunc(added, func(r Report) bool { return r.has(request) }) {
+				q.saveLater(request)
+			}
 		}
 	}
 }
--- a/internal/quarantiner/quarantiner_test.go
+++ b/internal/quarantiner/quarantiner_test.go
@@ -56,13 +56,23 @@
 		centre := fmt.Sprintf("c%d", i%3)
 		f.names[centre] = append(f.names[centre], fmt.Sprintf("n%d", i))
 	}
+	f.startAll(t)
+	time.Sleep(5 * time.Second)
+	return f
+}
+
+func (f *fleet) startAll(t *testing.T) {
 	for centre, names := range f.names {
 		for _, name := range names {
 			f.start(t, name, centre)
 		}
 	}
-	time.Sleep(5 * time.Second)
-	return f
+}
+
+// restartAll stops all nodes, and starts them once all have stopped.
+func (f *fleet) restartAll(t *testing.T) {
+	f.close()
+	f.startAll(t)
 }
 
 func (f *fleet) start(t *testing.T, name, centre string) {
@@ -153,16 +163,8 @@
 		f.start(t, "n4", "c1")
 		time.Sleep(5 * time.Second)
 		qt.Check(t, f.admitting(fatal), qt.Equals, 0)
-		for _, stop := range f.stops {
-			stop()
-		}
-		time.Sleep(2 * queryTimeout)
 		f.store.SetFaults(faker.StoreFaults{Down: true})
-		for centre, names := range f.names {
-			for _, name := range names {
-				f.start(t, name, centre)
-			}
-		}
+		f.restartAll(t)
 		time.Sleep(5 * time.Second)
 		f.store.SetFaults(faker.StoreFaults{})
 		time.Sleep(5 * time.Second)
@@ -190,6 +192,39 @@
 	})
 }
 
+// Guards against a request that stays refused although an operator released it: it
+// is free on all nodes within a second, also on one that joins and after a restart
+// of all, and in the store, which was down meanwhile. Three more crashes put it back.
+func TestReleasedRequestIsFree(t *testing.T) {
+	run(t, 9, func(t *testing.T, f *fleet) {
+		fatal, other := &messenger.Call{URI: "/fatal"}, &messenger.Call{URI: "/other"}
+		f.crash(fatal)
+		f.crash(other)
+		time.Sleep(5 * time.Second)
+		qt.Check(t, f.nodes["n5"].Entries(), qt.HasLen, 2)
+		qt.Check(t, f.nodes["n5"].Release((&messenger.Call{URI: "/unknown"}).Fingerprint()), qt.IsFalse)
+		f.store.SetFaults(faker.StoreFaults{Down: true})
+		qt.Check(t, f.nodes["n5"].Release(fatal.Fingerprint()), qt.IsTrue)
+		time.Sleep(time.Second)
+		qt.Check(t, f.admitting(fatal), qt.Equals, 9)
+		qt.Check(t, f.admitting(other), qt.Equals, 0)
+		qt.Check(t, f.nodes["n5"].Release(fatal.Fingerprint()), qt.IsFalse)
+		f.start(t, "n4", "c1")
+		time.Sleep(5 * time.Second)
+		qt.Check(t, f.admitting(fatal), qt.Equals, 9)
+
+		f.store.SetFaults(faker.StoreFaults{})
+		time.Sleep(2 * maxStoreInterval)
+		f.restartAll(t)
+		time.Sleep(5 * time.Second)
+		qt.Check(t, f.admitting(fatal), qt.Equals, 9)
+		qt.Check(t, f.admitting(other), qt.Equals, 0)
+		f.crash(fatal)
+		time.Sleep(time.Second)
+		qt.Check(t, f.admitting(fatal), qt.Equals, 0)
+	})
+}
+
 // The reports that a node keeps are bounded, and old ones do not count.
 func TestReportsAreBounded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/quarantiner/spread.go
+++ b/internal/quarantiner/spread.go
@@ -196,8 +196,8 @@
 	q.loaded = true
 }
 
-// saveLater has a request in quarantine written to the store. The caller holds the
-// lock.
+// saveLater has the store brought up to date with a request that is in quarantine
+// now, or no longer. The caller holds the lock.
 func (q *Quarantiner) saveLater(request messenger.Fingerprint) {
 	if q.unsaved == nil {
 		q.unsaved = map[messenger.Fingerprint]bool{}
@@ -271,38 +271,41 @@
 	}
 }
 
-// save writes the reports of a request in quarantine. They replace what is there:
-// a later report adds to the earlier ones.
+// save writes the reports of a request in quarantine, or removes what is there of
+// one that is not. New reports replace what is there: a later one adds to the
+// earlier ones.
 func (q *Quarantiner) save(ctx context.Context, request messenger.Fingerprint) error {
-	value := messenger.Encode(q.reportsOf(request))
 	key := KeyPrefix + request.String()
 	e, err := q.Store.Get(ctx, key)
 	if err != nil {
 		return err
 	}
-	if _, err := q.Store.Swap(ctx, key, value, e.Version, ""); err != nil {
-		return err
+	var value []byte
+	if q.quarantines(request) {
+		value = messenger.Encode(q.reportsToSave(request))
+	}
+	if value != nil || e.Version != 0 {
+		if _, err := q.Store.Swap(ctx, key, value, e.Version, ""); err != nil {
+			return err
+		}
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	delete(q.unsaved, request)
+	if q.quarantines(request) == (value != nil) {
+		delete(q.unsaved, request)
+	}
 	return nil
 }
 
 // maxSavedReports bounds the reports of one request in the store.
 const maxSavedReports = 16
 
-// reportsOf returns the crashes of a request, each without the other requests.
-func (q *Quarantiner) reportsOf(request messenger.Fingerprint) []Report {
-	q.mu.Lock()
-	list := q.reportList()
-	q.mu.Unlock()
-	sortByTime(list)
-	var out []Report
-	for _, r := range list {
-		if !r.Completed && r.has(request) && len(out) < maxSavedReports {
-			out = append(out, r.only(request))
-		}
+// reportsToSave returns the crashes of a request, each without the other requests.
+func (q *Quarantiner) reportsToSave(request messenger.Fingerprint) []Report {
+	crashes := q.crashesOf(request)
+	out := make([]Report, 0, maxSavedReports)
+	for _, r := range crashes[:min(len(crashes), maxSavedReports)] {
+		out = append(out, r.only(request))
 	}
 	return out
 }
--- a/internal/quarantiner/verdict.go
+++ b/internal/quarantiner/verdict.go
@@ -79,6 +79,12 @@
 	return causes
 }
 
+// quarantines reports whether the verdicts put a request into quarantine.
+func (q *Quarantiner) quarantines(request messenger.Fingerprint) bool {
+	v := q.verdicts.Load()
+	return v != nil && v.quarantinesAny([]messenger.Fingerprint{request})
+}
+
 // quarantinesAny reports whether any of the requests crashes targets.
 func (v *verdicts) quarantinesAny(requests []messenger.Fingerprint) bool {
 	return slices.ContainsFunc(requests, func(request messenger.Fingerprint) bool {
--- a/internal/viewer/viewer.go
+++ b/internal/viewer/viewer.go
@@ -51,6 +51,29 @@
 	return getJSON[[]adminserver.WorkspaceView](ctx, v, admin, "/v1/workspaces", nil)
 }
 
+// Quarantine returns the requests that one node keeps from targets.
+func (v *Viewer) Quarantine(ctx context.Context, admin string) ([]adminserver.QuarantineView, error) {
+	return getJSON[[]adminserver.QuarantineView](ctx, v, admin, "/v1/quarantine", nil)
+}
+
+// Release has a node end the quarantine of a request on all nodes. It reports
+// whether the request was in quarantine.
+func (v *Viewer) Release(ctx context.Context, admin, request string) (released bool, err error) {
+	address := url.URL{Scheme: "http", Host: admin, Path: "/v1/quarantine/" + request}
+	res, err := v.send(ctx, http.MethodDelete, address.String())
+	if err != nil {
+		return false, err
+	}
+	defer res.Body.Close()
+	switch res.StatusCode {
+	case http.StatusNoContent:
+		return true, nil
+	case http.StatusNotFound:
+		return false, nil
+	}
+	return false, fmt.Errorf("viewer: %s returned status %s", address.String(), res.Status)
+}
+
 // Configuration returns the number and digest of one node's configuration.
 func (v *Viewer) Configuration(ctx context.Context, admin string) (Configuration, error) {
 	return getJSON[Configuration](ctx, v, admin, "/v1/configuration", nil)
@@ -129,13 +152,9 @@
 func getJSON[T any](ctx context.Context, v *Viewer, admin, path string, query url.Values) (T, error) {
 	var out T
 	address := url.URL{Scheme: "http", Host: admin, Path: path, RawQuery: query.Encode()}
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, address.String(), nil)
-	if err != nil {
-		return out, fmt.Errorf("viewer: %w", err)
-	}
-	res, err := v.Client.Do(req)
+	res, err := v.send(ctx, http.MethodGet, address.String())
 	if err != nil {
-		return out, fmt.Errorf("viewer: %w", err)
+		return out, err
 	}
 	defer res.Body.Close()
 	if res.StatusCode != http.StatusOK {
@@ -146,3 +165,16 @@
 	}
 	return out, nil
 }
+
+// send sends a request without a body. The caller closes the response's body.
+func (v *Viewer) send(ctx context.Context, method, address string) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, method, address, nil)
+	if err != nil {
+		return nil, fmt.Errorf("viewer: %w", err)
+	}
+	res, err := v.Client.Do(req)
+	if err != nil {
+		return nil, fmt.Errorf("viewer: %w", err)
+	}
+	return res, nil
+}
