recorder: calls wait while a shard is handed over

What callers saw: keyed calls that arrived at other nodes while a node stopped as planned, with the store down, were refused with 404.

Cause: while a shard moved, neither node said so. The old owner answered that it owns nothing, the successor, until its votes were in, that the call cannot be recorded, and so did all others, which tried to read the store. Then the successor's first commit failed, and until the voters had answered whether it serves from memory it refused too.

Fix: a shard that moves answers so, the old owner names its successor, and the entry asks again after 5 to 100 ms, for 2 s at most. Calls that come between a failed commit and the answer of the voters wait for that answer. Nothing is recorded by a node that says it moves; a repeat of the query has the same run.

--- a/internal/recorder/commit.go
+++ b/internal/recorder/commit.go
@@ -145,7 +145,7 @@
 func (s *shard) markStoreFailed() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.storeFailedAt = time.Now()
+	s.storeFailedAt, s.awaitsVotes = time.Now(), true
 }
 
 // collectBatch moves the dirty records into a batch.
@@ -252,7 +252,7 @@
 	s.restoreBatch(b)
 	switch {
 	case err != nil:
-		s.storeFailedAt = time.Now()
+		s.storeFailedAt, s.awaitsVotes = time.Now(), true
 		return false, false
 	case h.Epoch == s.epoch, s.previous != OwnershipEpoch{} && h.Epoch == s.previous:
 		s.version = version
--- a/internal/recorder/handover.go
+++ b/internal/recorder/handover.go
@@ -68,6 +68,9 @@
 	s.mu.Unlock()
 	for _, node := range s.ownerCandidates() {
 		if node != s.recorder.Node && s.sendHandover(ctx, node, h, records) {
+			s.mu.Lock()
+			s.movedTo = node
+			s.mu.Unlock()
 			return
 		}
 	}
@@ -104,6 +107,7 @@
 	}
 	s.handoverRecords = append(s.handoverRecords, h.Records...)
 	if h.Last {
+		s.receiving = true
 		records := s.handoverRecords
 		s.handoverEpoch, s.handoverRecords = OwnershipEpoch{}, nil
 		go s.serveHandover(h, records)
@@ -114,6 +118,7 @@
 // serveHandover serves a handed-over shard once a majority of the members know
 // of it. The store may be updated much later.
 func (s *shard) serveHandover(h *HandoverRequest, stored []storedRecord) {
+	defer s.endReceiving()
 	ctx, stop := context.WithTimeout(context.Background(), 2*queryTimeout)
 	defer stop()
 	s.acquiring <- struct{}{}
@@ -136,3 +141,9 @@
 		s.dirty[k] = rec
 	}
 }
+
+func (s *shard) endReceiving() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.receiving = false
+}
--- a/internal/recorder/handover_test.go
+++ b/internal/recorder/handover_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -17,6 +18,18 @@
 // shards over, with the store down. They must wait for the successor, not be
 // refused.
 func TestCallsDuringHandover(t *testing.T) {
+	checkCallsDuringHandovers(t, 9)
+}
+
+// Guards against calls that are refused while a shard moves: of ten nodes five are
+// replaced in one outage, so that over half of the voters still know all owners.
+func TestCallsWaitForSuccessor(t *testing.T) {
+	checkCallsDuringHandovers(t, 5)
+}
+
+// checkCallsDuringHandovers replaces a number of ten nodes, one after the other,
+// with the store down.
+func checkCallsDuringHandovers(t *testing.T, replaced int) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		cl := newMeasuredCluster(10, func(*Recorder) {})
@@ -24,22 +37,8 @@
 		cl.store.SetFaults(faker.StoreFaults{Down: true})
 		time.Sleep(5 * time.Second)
 		refused := 0
-		for _, owner := range cl.names[1:] {
-			var calls sync.WaitGroup
-			var mu sync.Mutex
-			calls.Go(func() { cl.process(owner).Release(context.Background()) })
-			for i := range 30 {
-				calls.Go(func() {
-					time.Sleep(time.Duration(i) * 200 * time.Microsecond)
-					in := Intent{Workspace: "w", Key: fmt.Sprint(owner, i), RequestDigest: 1, RunID: uint64(i), Timeout: time.Second}
-					if _, err := cl.process(cl.names[0]).Begin(context.Background(), in); err != nil {
-						mu.Lock()
-						refused++
-						mu.Unlock()
-					}
-				})
-			}
-			calls.Wait()
+		for _, owner := range cl.names[1 : 1+replaced] {
+			refused += cl.refusedDuringHandover(owner)
 			time.Sleep(drainTime)
 			cl.kill(owner)
 			cl.start(owner)
@@ -49,3 +48,22 @@
 		cl.close()
 	})
 }
+
+// refusedDuringHandover returns how many of 30 calls are refused that begin at
+// another node while an owner hands its shards over.
+func (cl *cluster) refusedDuringHandover(owner string) int {
+	var calls sync.WaitGroup
+	var refused atomic.Int64
+	calls.Go(func() { cl.process(owner).Release(context.Background()) })
+	for i := range 30 {
+		calls.Go(func() {
+			time.Sleep(time.Duration(i) * 200 * time.Microsecond)
+			in := Intent{Workspace: "w", Key: fmt.Sprint(owner, i), RequestDigest: 1, RunID: uint64(i), Timeout: time.Second}
+			if _, err := cl.process(cl.names[0]).Begin(context.Background(), in); err != nil {
+				refused.Add(1)
+			}
+		})
+	}
+	calls.Wait()
+	return int(refused.Load())
+}
--- a/internal/recorder/memory.go
+++ b/internal/recorder/memory.go
@@ -43,7 +43,7 @@
 // resolvePending answers the calls that wait for a failed commit. The caller
 // holds the lock.
 func (s *shard) resolvePending(accepted bool) {
-	s.urgent = false
+	s.urgent, s.awaitsVotes = false, false
 	for k, rec := range s.dirty {
 		switch {
 		case rec.accepted:
--- a/internal/recorder/message.go
+++ b/internal/recorder/message.go
@@ -61,6 +61,8 @@
 	Mismatch
 	// Unavailable: the intent could not be recorded.
 	Unavailable
+	// Moving: the shard is being handed over; another node will own it soon.
+	Moving
 )
 
 // BeginRequest asks the owner of a shard to record the intent of a call.
--- a/internal/recorder/ownership.go
+++ b/internal/recorder/ownership.go
@@ -24,6 +24,9 @@
 	if s.serves() {
 		return nil
 	}
+	if reply := s.handoverReply(); reply != nil {
+		return reply
+	}
 	select {
 	case s.acquiring <- struct{}{}:
 		defer func() { <-s.acquiring }()
@@ -41,7 +44,7 @@
 	case serves:
 		return nil
 	case s.recorder.releasing.Load():
-		return &Reply{Status: NotOwner}
+		return s.handoverReply()
 	case recentlyTried:
 		return &Reply{Status: Unavailable, Owner: knownOwner, RetryAfter: unavailableRetryAfter}
 	}
@@ -50,6 +53,17 @@
 	return s.acquire(ctx)
 }
 
+// handoverReply returns the reply to a call while the shard moves to this node or
+// away from it, else nil.
+func (s *shard) handoverReply() *Reply {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if r := s.movingReply(); r.Status == Moving || s.recorder.releasing.Load() {
+		return r
+	}
+	return nil
+}
+
 // acquireIfFirst makes this node the owner before any call arrives if it is the
 // first candidate and no live owner is known, so that every shard has an owner
 // when an outage begins.
@@ -146,7 +160,7 @@
 		s.headRecords[keyDigest(sr.KeyDigest)] = records[keyDigest(sr.KeyDigest)]
 	}
 	s.outage, s.storedOutage = max(res.outage, h.StoredOutage), h.StoredOutage
-	s.blockedUntil, s.memoryUntil, s.storeFailedAt = time.Time{}, time.Time{}, time.Time{}
+	s.blockedUntil, s.memoryUntil, s.storeFailedAt, s.awaitsVotes = time.Time{}, time.Time{}, time.Time{}, false
 	if s.outage > s.storedOutage {
 		s.blockedUntil = now.Add(s.recorder.memoryRetention() - res.outageAgo)
 	}
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -61,6 +61,12 @@
 	maxShardRecords           = 200_000
 	maxOwnerQueries           = 4
 	maxConcurrentVoteRequests = 64
+	// minMovePause and maxMovePause bound the pause before a node that hands a
+	// shard over, or receives one, is queried again, which doubles each time.
+	// maxMoveWait bounds how long a call waits for that.
+	minMovePause = 5 * time.Millisecond
+	maxMovePause = 100 * time.Millisecond
+	maxMoveWait  = 2 * time.Second
 )
 
 // Intent is a keyed call that is about to run.
@@ -220,9 +226,37 @@
 	}()
 }
 
-// queryOwner queries the owner of a shard, trying up to maxOwnerQueries nodes
-// to find it.
+// queryOwner queries the owner of a shard. While the shard is handed over, it waits
+// for the next owner.
 func (r *Recorder) queryOwner(ctx context.Context, s *shard, q *Query) *Reply {
+	waitUntil := time.Now().Add(maxMoveWait)
+	for pause := minMovePause; ; pause = min(2*pause, maxMovePause) {
+		reply := r.queryCandidates(ctx, s, q)
+		if reply.Status != Moving {
+			return reply
+		}
+		if time.Now().Add(pause).After(waitUntil) || !sleep(ctx, pause) {
+			return &Reply{Status: Unavailable, RetryAfter: unavailableRetryAfter}
+		}
+	}
+}
+
+// sleep waits, and reports whether ctx goes on.
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// queryCandidates queries up to maxOwnerQueries nodes for the owner of a shard. It
+// returns the reply of the owner, of a node at which the shard is moving, or
+// Unavailable.
+func (r *Recorder) queryCandidates(ctx context.Context, s *shard, q *Query) *Reply {
 	unavailable := &Reply{Status: Unavailable, RetryAfter: unavailableRetryAfter}
 	queried := map[string]int{}
 	candidates := s.ownerCandidates()
--- a/internal/recorder/shard.go
+++ b/internal/recorder/shard.go
@@ -73,6 +73,9 @@
 	// committedAt is when the last commit began, storeFailedAt when one last
 	// failed, storeConfirmedAt when the store last confirmed this ownership.
 	committedAt, storeFailedAt, storeConfirmedAt time.Time
+	// awaitsVotes reports that a commit failed and the voters have not answered yet
+	// whether calls are accepted without the store.
+	awaitsVotes bool
 	// votersRefreshedAt is when the voters were last notified, dirtySince when
 	// dirty got its first record, expiryCheckedAt when expired records were
 	// last dropped.
@@ -87,6 +90,10 @@
 	// handoverEpoch.
 	handoverEpoch   OwnershipEpoch
 	handoverRecords []storedRecord
+	// receiving reports that a handover to this node is under way, and movedTo is
+	// the node that accepted one of this node.
+	receiving bool
+	movedTo   string
 }
 
 func newShard(r *Recorder, n int) *shard {
@@ -170,12 +177,24 @@
 	}
 }
 
+// movingReply replies to a call that this node does not admit. The caller holds the
+// lock.
+func (s *shard) movingReply() *Reply {
+	switch {
+	case s.receiving || s.releasing:
+		return &Reply{Status: Moving}
+	case s.recorder.releasing.Load():
+		return &Reply{Status: NotOwner, Owner: s.movedTo}
+	}
+	return &Reply{Status: NotOwner}
+}
+
 // admit replies to an intent, or returns nil if the reply will be sent to
 // recorded after a commit. The caller holds the lock.
 func (s *shard) admit(b *BeginRequest, now time.Time, recorded chan Status) *Reply {
 	switch {
 	case s.role != roleOwner || s.releasing:
-		return &Reply{Status: NotOwner}
+		return s.movingReply()
 	case now.Before(s.blockedUntil):
 		return &Reply{Status: Unavailable, RetryAfter: s.blockedUntil.Sub(now)}
 	}
@@ -191,7 +210,8 @@
 		return nil
 	}
 	inMemory := now.Before(s.memoryUntil)
-	if len(s.records) >= maxShardRecords || (!inMemory && s.storeFailedAt.After(s.storeConfirmedAt)) {
+	storeFails := !inMemory && s.storeFailedAt.After(s.storeConfirmedAt)
+	if len(s.records) >= maxShardRecords || storeFails && !s.awaitsVotes {
 		return &Reply{Status: Unavailable, RetryAfter: unavailableRetryAfter}
 	}
 	rec := &record{
@@ -253,5 +273,5 @@
 	}
 	s.role, s.memoryUntil, s.blockedUntil, s.previous = roleOther, time.Time{}, time.Time{}, OwnershipEpoch{}
 	s.records, s.dirty, s.headRecords, s.segments, s.answerBytes = nil, nil, nil, nil, 0
-	s.urgent, s.releaseStored = false, false
+	s.urgent, s.awaitsVotes, s.releaseStored = false, false, false
 }
