drainer: the targets of a stopping node stay in use for a while

Cause: a node that is told to stop marked its targets as draining at once, takes some 3.2 s to stop, since callers come for 2.3 s, and its target had its first call half a second after the next process had started: 4 to 5 s without a call, of which the node could have served two.

New tests TestTargetsOfStoppingNodeStayInUse and TestTargetOfStoppingNodeStaysInUse: the last call came within a second of the signal before, after 1.2 to 1.8 s now, and none is lost.

--- a/internal/commander/node.go
+++ b/internal/commander/node.go
@@ -98,6 +98,7 @@
 	set.Var((*numberFlag)(&s.Beat), "beat", "milliseconds between two announcements of a target")
 	set.Var((*numberFlag)(&s.Notice), "notice", "milliseconds for which a leaving node or target still accepts new work (default 2000)")
 	set.Var((*numberFlag)(&s.Linger), "linger", "milliseconds for which a stopping node still accepts connections (default the notice)")
+	set.Var((*numberFlag)(&s.Keep), "keep", "milliseconds for which the targets of a stopping node stay in use before their notice begins")
 	set.Var((*numberFlag)(&s.Grace), "grace", "seconds after which a process that was told to stop is killed (default 30)")
 	set.Var((*numberFlag)(&s.Ratio), "ratio", "extra attempts that each request adds to the retry budget")
 	set.Var((*numberFlag)(&s.Slack), "slack", "extra attempts that a service may make fleet-wide beyond the ratio")
--- a/internal/drainer/drainer.go
+++ b/internal/drainer/drainer.go
@@ -43,6 +43,9 @@
 	// Notice is how long new calls are still admitted after something began to
 	// leave, FinishTimeout how long Finish waits for calls in flight.
 	Notice, FinishTimeout time.Duration
+	// Keep is for how long the targets of a stopping node stay in use before their
+	// notice begins.
+	Keep time.Duration
 	// Targets returns the targets on this VM.
 	Targets func() []messenger.Target
 	// CentreOut reports whether the node's data centre is out of service.
@@ -50,6 +53,8 @@
 	// NotifyPeers notifies the peers that this node leaves. It must not block on
 	// them.
 	NotifyPeers func(ctx context.Context)
+	// WithdrawTargets publishes that the targets of this node leave, after Keep.
+	WithdrawTargets func()
 	// Tracer receives events; nil drops them.
 	Tracer *tracer.Tracer
 
@@ -88,7 +93,7 @@
 // lock.
 func (d *Drainer) refusal(target string, u *usage, now time.Time) error {
 	switch {
-	case d.noticeOver(d.stoppingSince, now):
+	case d.noticeOver(d.stoppingSince, now.Add(-d.Keep)):
 		return coder.New(coder.NodeLeaving, "").WithAfter(retryAfter)
 	case d.noticeOver(d.outSince, now):
 		return coder.New(coder.TargetLeaving, "data centre is out").WithAfter(retryAfter)
@@ -134,6 +139,13 @@
 	return !d.stoppingSince.IsZero()
 }
 
+// TargetsLeave reports whether the targets leave because the node is stopping.
+func (d *Drainer) TargetsLeave() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return !d.stoppingSince.IsZero() && time.Since(d.stoppingSince) >= d.Keep
+}
+
 // Run tracks which targets leave and whether the data centre is out of service,
 // until ctx ends.
 func (d *Drainer) Run(ctx context.Context) error {
@@ -181,14 +193,16 @@
 	return start
 }
 
-// Begin begins to stop the node: it notifies the peers and returns when the
-// notice period is over or ctx ends.
+// Begin begins to stop the node: it notifies the peers, and after Keep withdraws
+// the targets. It returns when the notice period is over or ctx ends.
 func (d *Drainer) Begin(ctx context.Context) {
 	d.mu.Lock()
 	d.stoppingSince = updateStart(d.stoppingSince, true, time.Now())
 	d.mu.Unlock()
 	d.Tracer.Add(tracer.Event{Kind: "node-leaving"})
 	d.NotifyPeers(ctx)
+	sleep(ctx, d.Keep)
+	d.WithdrawTargets()
 	sleep(ctx, d.Notice)
 }
 
--- a/internal/drainer/drainer_test.go
+++ b/internal/drainer/drainer_test.go
@@ -30,7 +30,7 @@
 			return []messenger.Target{{Name: "a", State: messenger.State(f.state.Load())}, {Name: "b"}}
 		},
 		CentreOut:   func() bool { return f.out.Load() },
-		NotifyPeers: func(context.Context) { f.peersNotified++ },
+		NotifyPeers: func(context.Context) { f.peersNotified++ }, WithdrawTargets: func() {},
 	}
 	go func() { _ = f.Run(t.Context()) }()
 	return f
@@ -81,6 +81,30 @@
 	}
 }
 
+// Guards against targets without calls for as long as the node beside them takes to
+// stop: they stay in use for a while, and leave only then.
+func TestTargetsOfStoppingNodeStayInUse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		f := newFixture(t)
+		f.Keep, f.Notice = 1300*time.Millisecond, 500*time.Millisecond
+		var withdrawnAt time.Duration
+		start := time.Now()
+		f.WithdrawTargets = func() {
+			withdrawnAt = time.Since(start)
+			c.Check(f.TargetsLeave(), qt.IsTrue)
+		}
+		go f.Begin(context.Background())
+		time.Sleep(f.Keep - time.Millisecond)
+		c.Check(f.Leaving(), qt.IsTrue)
+		c.Check(f.TargetsLeave(), qt.IsFalse)
+		last, code := f.lastAdmitted("a")
+		c.Check(withdrawnAt, qt.Equals, f.Keep)
+		c.Check(last >= f.Notice-10*time.Millisecond && last <= f.Notice+10*time.Millisecond, qt.IsTrue, qt.Commentf("%v after", last))
+		c.Check(code, qt.Equals, coder.NodeLeaving)
+	})
+}
+
 func TestReturningCentreAdmitsCalls(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
--- a/internal/node/bind.go
+++ b/internal/node/bind.go
@@ -22,9 +22,9 @@
 	linker.HandleTypedQuery(c.Linker, linker.MethodRecord, c.IdempotencyRecorder.Handle)
 	bindLoad(c)
 	c.TargetRegistrar.ApplyVerdict = drainOnStop(c.Drainer, c.TargetRegistrar.ApplyVerdict)
+	c.Drainer.WithdrawTargets = c.TargetRegistrar.RefreshVerdicts
 	c.Drainer.NotifyPeers = func(ctx context.Context) {
 		c.Prober.Leave()
-		c.TargetRegistrar.RefreshVerdicts()
 		go c.IdempotencyRecorder.Release(ctx)
 	}
 	n := Node(c)
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -11,7 +11,8 @@
 
 func newDrainer(s settingsloader.Settings, cfg *configurer.Configurer, r *targetregistrar.Registrar, t *tracer.Tracer) *drainer.Drainer {
 	return &drainer.Drainer{
-		Notice: millisOrDefault(s.Notice, drainer.DefaultNotice), FinishTimeout: drainer.DefaultFinishTimeout, Tracer: t,
+		Notice: millisOrDefault(s.Notice, drainer.DefaultNotice), Keep: millisOrDefault(s.Keep, 0),
+		FinishTimeout: drainer.DefaultFinishTimeout, Tracer: t,
 		Targets: r.Targets, CentreOut: func() bool { return isCentreOut(cfg, s.Centre) },
 	}
 }
@@ -21,7 +22,7 @@
 func drainOnStop(d *drainer.Drainer, applyVerdict func(messenger.Target) messenger.Target) func(messenger.Target) messenger.Target {
 	return func(t messenger.Target) messenger.Target {
 		t = applyVerdict(t)
-		if d.Leaving() {
+		if d.TargetsLeave() {
 			t.State = messenger.Draining
 		}
 		return t
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -63,7 +63,9 @@
 	crashTimes []time.Time
 	// sharedRates starts nodes with settingsloader.RatesShared.
 	sharedRates bool
-	cleanups    []func()
+	// notice, linger and keep are settings of the nodes.
+	notice, linger, keep float64
+	cleanups             []func()
 	// idempotencyKey is sent with the next calls unless empty.
 	idempotencyKey string
 	// log receives the log lines of nodes that start after it is set. Nil drops
@@ -119,6 +121,7 @@
 		Name: name, Centre: centre, Region: "test", Address: name,
 		Callers: name + ":80", Link: name + ":81", Admin: name + ":82", Secret: "secret",
 	}
+	s.Notice, s.Linger, s.Keep = f.notice, f.linger, f.keep
 	if f.sharedRates {
 		s.Rates = settingsloader.RatesShared
 	}
--- a/internal/node/shutdown_test.go
+++ b/internal/node/shutdown_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -160,10 +161,27 @@
 // TestStoppingExitNodeFinishesCalls stops a node that gets calls only from another
 // node. All of them must succeed, and the stop must take less than 6 s.
 func TestStoppingExitNodeFinishesCalls(t *testing.T) {
+	began, arrivals := checkStoppingExitNode(t, 0, 0, 0)
+	qt.Check(t, len(arrivals) > 0, qt.IsTrue)
+	qt.Check(t, arrivals[len(arrivals)-1].Sub(began) < time.Second, qt.IsTrue)
+}
+
+// Guards against a target without calls for as long as the node beside it takes to
+// stop: calls go on until shortly before the node ends, and all of them succeed.
+func TestTargetOfStoppingNodeStaysInUse(t *testing.T) {
+	began, arrivals := checkStoppingExitNode(t, 500, 2300, 1300)
+	last := arrivals[len(arrivals)-1].Sub(began)
+	qt.Check(t, last >= 1200*time.Millisecond && last <= 1800*time.Millisecond, qt.IsTrue, qt.Commentf("last call %v after the stop began", last))
+}
+
+// checkStoppingExitNode stops one of two nodes under load at the other. It returns
+// when that began, and when calls arrived at the stopped node's target.
+func checkStoppingExitNode(t *testing.T, notice, linger, keep float64) (began time.Time, arrivals []time.Time) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		f := newTestFleet(t, "a", "b")
 		defer f.close()
+		f.notice, f.linger, f.keep = notice, linger, keep
 		f.configure(openFleetJSON)
 		for i, name := range f.names {
 			f.startNode(name, "one")
@@ -172,22 +190,22 @@
 		time.Sleep(3 * time.Second)
 		l := startLoad(f, 60, "a")
 		time.Sleep(4 * time.Second)
-		began := time.Now()
+		began = time.Now()
 		c.Check(f.nodes["b"].stop(), qt.IsNil)
 		c.Check(time.Since(began) < 6*time.Second, qt.IsTrue)
-		requestsAtStop := len(f.requestsAt("tb"))
+		arrivals = f.arrivalsAt("tb")
 		time.Sleep(2 * time.Second)
 		outcomes := l.finish()
 		t.Logf("%v", outcomes)
 		c.Check(outcomes, qt.DeepEquals, map[string]int{"200": outcomes["200"]})
-		c.Check(requestsAtStop > 0, qt.IsTrue)
 		l.checkBookings(c)
 	})
+	return began, arrivals
 }
 
-// requestsAt returns the requests that a target received.
-func (f *testFleet) requestsAt(target string) []string {
+// arrivalsAt returns the times of the requests that a target received.
+func (f *testFleet) arrivalsAt(target string) []time.Time {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.requests[target]
+	return slices.Clone(f.arrivals[target])
 }
--- a/internal/settingsloader/check.go
+++ b/internal/settingsloader/check.go
@@ -122,6 +122,7 @@
 	}
 	c.requireRange("beat", s.Beat, maxTimeMillis, ruleTime)
 	c.requireRange("notice", s.Notice, maxTimeMillis, ruleTime)
+	c.requireRange("keep", s.Keep, maxTimeMillis, ruleTime)
 	c.requireRange("linger", s.Linger, maxTimeMillis, ruleTime)
 	c.requireRange("grace", s.Grace, maxGraceSeconds, ruleGrace)
 	c.requireRange("floor", s.Floor, 1, ruleFraction)
--- a/internal/settingsloader/settings.go
+++ b/internal/settingsloader/settings.go
@@ -54,9 +54,11 @@
 	Beat float64 `json:"beat"`
 	// Notice is how long a leaving target, data centre or node still takes new
 	// calls, and Linger how long a stopping node still accepts connections, both
-	// in milliseconds. 0 means the defaults.
+	// in milliseconds. 0 means the defaults. Keep is for how many milliseconds the
+	// targets of a stopping node stay in use before their notice begins.
 	Notice float64 `json:"notice"`
 	Linger float64 `json:"linger"`
+	Keep   float64 `json:"keep"`
 	// Grace is the time from the stop signal until the process is killed, in
 	// seconds. 0 means the default.
 	Grace float64 `json:"grace"`
