quarantiner: a release lasts as long as the crash reports that it clears

What callers would see: a request that an operator released, or that completed, is refused again with code 310 ten minutes later, without any further crash.

Cause: reports of crashes are kept for up to a week while they hold a request in quarantine, also for the other requests in them. What had cleared those was dropped after ten minutes, and they were blamed anew.

Fix: a report that a request completed is kept while a crash of it is. maxReports bounds both as before.

--- a/internal/node/shutdown_test.go
+++ b/internal/node/shutdown_test.go
@@ -162,7 +162,7 @@
 // node. All of them must succeed, and the stop must take less than 6 s.
 func TestStoppingExitNodeFinishesCalls(t *testing.T) {
 	began, arrivals := checkStoppingExitNode(t, 0, 0, 0)
-	qt.Check(t, len(arrivals) > 0, qt.IsTrue)
+	qt.Assert(t, len(arrivals) > 0, qt.IsTrue)
 	qt.Check(t, arrivals[len(arrivals)-1].Sub(began) < time.Second, qt.IsTrue)
 }
 
@@ -170,6 +170,7 @@
 // stop: calls go on until shortly before the node ends, and all of them succeed.
 func TestTargetOfStoppingNodeStaysInUse(t *testing.T) {
 	began, arrivals := checkStoppingExitNode(t, 500, 2300, 1300)
+	qt.Assert(t, len(arrivals) > 0, qt.IsTrue)
 	last := arrivals[len(arrivals)-1].Sub(began)
 	qt.Check(t, last >= 1200*time.Millisecond && last <= 1800*time.Millisecond, qt.IsTrue, qt.Commentf("last call %v after the stop began", last))
 }
--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -232,15 +232,15 @@
 }
 
 // prune drops old reports, and the oldest beyond maxReports. Reports of a request
-// in quarantine are kept, so that a single crash after its end renews it. The
-// caller holds the lock.
+// in quarantine are kept, so that a single crash after its end renews it, and with
+// them what clears the other requests that they hold. The caller holds the lock.
 func (q *Quarantiner) prune(now time.Time) {
 	v := q.verdicts.Load()
 	list := q.reportList()
 	sortByTime(list)
 	for i, r := range list {
 		retention := reportRetention
-		if v != nil && v.quarantinesAny(r.Requests) {
+		if v != nil && v.quarantinesAny(r.Requests) || r.Completed && q.reportsCrashOf(r.Requests) {
 			retention = maxQuarantine
 		}
 		if len(list)-i > maxReports || now.Sub(time.UnixMilli(r.Time)) > retention {
@@ -249,3 +249,14 @@
 		}
 	}
 }
+
+// reportsCrashOf reports whether a crash is known at which one of the requests was
+// in flight. The caller holds the lock.
+func (q *Quarantiner) reportsCrashOf(requests []messenger.Fingerprint) bool {
+	for _, r := range q.reports {
+		if !r.Completed && slices.ContainsFunc(requests, r.has) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/quarantiner/quarantiner_test.go
+++ b/internal/quarantiner/quarantiner_test.go
@@ -225,6 +225,27 @@
 	})
 }
 
+// Guards against a released request that is refused again without a further crash:
+// reports that it shares with a request in quarantine outlast the usual time, and
+// so must its release.
+func TestReleaseOutlastsSharedReports(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := &Quarantiner{Sampler: &sampler.Sampler{Node: "n", Alive: func() map[string][]string { return nil }}}
+		fatal, other := &messenger.Call{URI: "/fatal"}, &messenger.Call{URI: "/other"}
+		for range 3 {
+			time.Sleep(time.Second)
+			q.ReportCrash(crashwatcher.Crash{Time: time.Now(), Requests: []messenger.Fingerprint{fatal.Fingerprint(), other.Fingerprint()}})
+		}
+		time.Sleep(time.Minute)
+		qt.Check(t, q.Release(other.Fingerprint()), qt.IsTrue)
+		for range 30 {
+			time.Sleep(time.Minute)
+			q.ReportCrash(crashwatcher.Crash{Time: time.Now()})
+			qt.Check(t, q.Admit(other), qt.IsNil)
+		}
+	})
+}
+
 // The reports that a node keeps are bounded, and old ones do not count.
 func TestReportsAreBounded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
