configurer: declarations of a source are ordered by the operators' version

Cause: the number in force was the store's revision. Revisions go back with the store, so that new changes had lower numbers than the one in force and were ignored; an older document could also come into force once revisions had passed. The class: an order that the store hands out was taken as an order of what it holds.

Now the operators' own version comes first in the number, then the store's era, and revisions count within an era only. A document of a lower version than the one in force is never taken. Orders to empty data centres have no version: those in force before a restoration are kept until the operators have taken them back in the new era, or had five seconds to write them again; what a node read that knew nothing from before is not followed by nodes that do.

--- a/internal/configurer/configurer.go
+++ b/internal/configurer/configurer.go
@@ -74,11 +74,11 @@
 	Watching func() bool
 	// ExpectPeers is true when other nodes should be discovered after the start.
 	ExpectPeers bool
-	// DeclarationSource waits for a declaration with a higher number than after
-	// and returns it, or after a while a zero one if there is none. It replaces
-	// the head and parts in the store where operators keep their declaration
-	// elsewhere. Nil means the store.
-	DeclarationSource func(ctx context.Context, after uint64) (NumberedDeclaration, error)
+	// DeclarationSource waits for a change of what the operators declare and
+	// returns what it holds then, or after a while nil if there was none. The
+	// first call does not wait. It replaces the head and parts in the store where
+	// operators keep their declaration elsewhere. Nil means the store.
+	DeclarationSource func(ctx context.Context) (*Observation, error)
 	// SourceReader reports whether this node reads changes from the source for
 	// the others. Every node reads the first declaration itself. Nil means that
 	// each reads all changes.
@@ -143,7 +143,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.init()
-	if number > c.highestKnown {
+	if number > c.highestKnown && c.mayFollow(number) {
 		c.highestKnown = number
 		c.wakeRun()
 	}
@@ -296,7 +296,7 @@
 	c.head, c.manifest, c.parts, c.highestKnown = h, m, parts, max(c.highestKnown, h.Number)
 	c.index.Store(index)
 	c.mu.Unlock()
-	c.Tracer.Add(tracer.Event{Kind: "configuration", Detail: describe(h)})
+	c.Tracer.Add(tracer.Event{Kind: "configuration", Detail: c.describe(h)})
 	if c.AnnounceNumber != nil {
 		c.AnnounceNumber(h.Number)
 	}
--- a/internal/configurer/fetch.go
+++ b/internal/configurer/fetch.go
@@ -10,6 +10,14 @@
 	"time"
 )
 
+// describe describes a head in events.
+func (c *Configurer) describe(h Head) string {
+	if c.DeclarationSource != nil {
+		return fmt.Sprintf("%v, change %q", decodeSourceNumber(h.Number), h.Identity)
+	}
+	return describe(h)
+}
+
 func describe(h Head) string { return fmt.Sprintf("number %d, change %q", h.Number, h.Identity) }
 
 // errPartMissing is returned when no queried node has a part and the store may
@@ -108,7 +116,7 @@
 	for _, name := range c.randomPeers(n) {
 		wg.Go(func() {
 			r, err := c.query(ctx, name, &Query{})
-			if err != nil || r.Head.Number == 0 {
+			if err != nil || r.Head.Number == 0 || !c.mayFollow(r.Head.Number) {
 				return
 			}
 			mu.Lock()
--- a/internal/configurer/source_test.go
+++ b/internal/configurer/source_test.go
@@ -21,37 +21,44 @@
 // must get changes from their peers.
 type fakeSource struct {
 	mu       sync.Mutex
-	declared NumberedDeclaration
+	observed Observation
 	rejected map[string]bool
 }
 
-func (fs *fakeSource) declare(number uint64, keys ...string) {
+// declare declares a version with some keys, at a revision of the same number.
+func (fs *fakeSource) declare(version uint64, keys ...string) {
 	fs.mu.Lock()
 	defer fs.mu.Unlock()
-	fs.declared = NumberedDeclaration{Fleet: fleetOf(keys...), Number: number, Identity: "change"}
+	fs.observed = Observation{Fleet: fleetOf(keys...), Version: version, Revision: version, DeclaredAt: version, Identity: "change"}
 }
 
-func (fs *fakeSource) source(name string) func(context.Context, uint64) (NumberedDeclaration, error) {
-	return func(ctx context.Context, after uint64) (NumberedDeclaration, error) {
+// source returns the source of one node.
+func (fs *fakeSource) source(name string) func(context.Context) (*Observation, error) {
+	var seen uint64
+	return func(ctx context.Context) (*Observation, error) {
 		for {
 			fs.mu.Lock()
-			declared, rejected := fs.declared, fs.rejected[name]
+			observed, rejected := fs.observed, fs.rejected[name]
 			fs.mu.Unlock()
 			switch {
 			case rejected:
-				return NumberedDeclaration{}, errors.New("rejected by the fake source")
-			case declared.Number > after:
-				return declared, nil
+				return nil, errors.New("rejected by the fake source")
+			case observed.Version != seen:
+				seen = observed.Version
+				return &observed, nil
 			}
 			select {
 			case <-ctx.Done():
-				return NumberedDeclaration{}, ctx.Err()
+				return nil, ctx.Err()
 			case <-time.After(50 * time.Millisecond):
 			}
 		}
 	}
 }
 
+// versionInForce returns the version of the source that is in force on a node.
+func versionInForce(c *Configurer) uint64 { return decodeSourceNumber(c.Number()).version }
+
 // TestAllNodesFollowSource checks that a change is in force within two seconds on
 // all nodes, also on those that the source rejects, and that no node goes back to
 // a lower number when the source does.
@@ -89,13 +96,13 @@
 		source.declare(12, "second")
 		time.Sleep(2 * time.Second)
 		for _, name := range names {
-			qt.Check(t, nodes[name].Number(), qt.Equals, uint64(12), qt.Commentf(name))
+			qt.Check(t, versionInForce(nodes[name]), qt.Equals, uint64(12), qt.Commentf(name))
 			qt.Check(t, nodes[name].Index().WorkspaceByKey("second"), qt.IsNotNil)
 		}
 		source.declare(9, "old")
 		time.Sleep(5 * time.Second)
 		for _, name := range names {
-			qt.Check(t, nodes[name].Number(), qt.Equals, uint64(12), qt.Commentf(name))
+			qt.Check(t, versionInForce(nodes[name]), qt.Equals, uint64(12), qt.Commentf(name))
 		}
 		qt.Check(t, nodes["a"].Index().Fleet(), qt.Satisfies, func(f declarer.Fleet) bool { return len(f.Workspaces) > 0 })
 	})
@@ -124,9 +131,9 @@
 			for i, name := range names {
 				read := source.source(name)
 				nodes[name] = &Configurer{
-					DeclarationSource: func(ctx context.Context, after uint64) (NumberedDeclaration, error) {
+					DeclarationSource: func(ctx context.Context) (*Observation, error) {
 						calls.Add(1)
-						return read(ctx, after)
+						return read(ctx)
 					},
 					SourceReader: func() bool { return i < readers },
 					Peers: func() []string {
@@ -158,7 +165,7 @@
 			source.declare(12, "second")
 			time.Sleep(3 * time.Second)
 			for _, name := range names {
-				qt.Check(t, nodes[name].Number(), qt.Equals, uint64(12), qt.Commentf(name))
+				qt.Check(t, versionInForce(nodes[name]), qt.Equals, uint64(12), qt.Commentf(name))
 			}
 			t.Logf("%d nodes: %d calls in three seconds of a change", n, calls.Load())
 			qt.Check(t, calls.Load() <= 3*readers, qt.IsTrue, qt.Commentf("%d calls", calls.Load()))
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -93,10 +93,11 @@
 	// Dialect names the headers, and the meaning of some responses, that are used
 	// with callers and targets. The zero value means exithandler.OwnDialect.
 	Dialect exithandler.Dialect
-	// DeclarationSource waits for a declaration with a number above after and
-	// returns it, or after a while a zero one, if operators keep it elsewhere
-	// than as a head and parts in Store. Nil means the store.
-	DeclarationSource func(ctx context.Context, after uint64) (configurer.NumberedDeclaration, error)
+	// DeclarationSource waits for a change of what the operators declare and
+	// returns what it holds then, or after a while nil if there was none, if
+	// operators keep it elsewhere than as a head and parts in Store. Nil means the
+	// store.
+	DeclarationSource func(ctx context.Context) (*configurer.Observation, error)
 	// FindTarget looks for the target on this VM until it is found or announces
 	// itself, so that a restarted node serves it at once. It may be nil.
 	FindTarget func(ctx context.Context, n *Node)
