--- a/internal/storer/era.go
+++ b/internal/storer/era.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"strconv"
 	"sync"
 )
 
@@ -43,3 +44,65 @@
 	}
 	return nil
 }
+
+// ErrRestored is returned if the store was restored from an older copy during a
+// call. It is unknown what the call did.
+var ErrRestored = errors.New("storer: the store was restored during the call")
+
+// revisionBits is how many bits of a Version hold the store's revision. The bits
+// above hold the era, so that versions of different eras differ although the
+// restored store gives out the same revisions again.
+const revisionBits = 44
+
+// Version returns the Version of a key that was last written at a revision of an
+// era, or 0 for revision 0.
+func Version(era, revision uint64) uint64 {
+	if revision == 0 {
+		return 0
+	}
+	return era<<revisionBits | revision
+}
+
+// Revision returns the store's revision in a Version.
+func Revision(version uint64) uint64 {
+	_, revision := splitVersion(version)
+	return revision
+}
+
+func splitVersion(version uint64) (era, revision uint64) {
+	return version >> revisionBits, version & (1<<revisionBits - 1)
+}
+
+// Swap makes a write under the condition that a key is at version, for a store
+// that compares revisions only. write makes it with the revision and returns the
+// era of the reply with the key's revision after the write or, with ErrConflict,
+// at present. get returns the version at present; it takes the place of the write
+// if version is of an earlier era.
+func (t *EraTracker) Swap(version uint64, get func() (uint64, error), write func(revision uint64) (era, current uint64, err error)) (uint64, error) {
+	era, revision := splitVersion(version)
+	if version != 0 && era != t.Current() {
+		current, err := get()
+		if err == nil {
+			err = ErrConflict
+		}
+		return current, err
+	}
+	replyEra, current, err := write(revision)
+	if err == nil && version != 0 && replyEra != era {
+		return 0, ErrRestored
+	}
+	return Version(replyEra, current), err
+}
+
+// ParseEra observes the era that a reply has as text and returns it. A reply
+// without one is of the last known era.
+func (t *EraTracker) ParseEra(text string) (uint64, error) {
+	if text == "" {
+		return t.Current(), nil
+	}
+	era, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		return 0, fmt.Errorf("storer: era of a reply: %w", err)
+	}
+	return era, t.Observe(era)
+}
