faker: the store can be restored from an older copy, over HTTP too

The store that the tests and the soak use learns what the platform's may do: writes and leases since the copy are gone, versions are given out again, each reply has the era, which rises. Clients of it follow the era as that of the platform does: versions of an earlier era conflict.

--- a/internal/faker/store.go
+++ b/internal/faker/store.go
@@ -54,11 +54,24 @@
 	faults        StoreFaults
 	counts        StoreCounts
 	changed       chan struct{}
+	// era rises with each restoration; undo holds what reverts the latest changes,
+	// oldest first.
+	era  uint64
+	undo []undoStep
 }
 
+// undoStep reverts one change of a store.
+type undoStep struct {
+	at     time.Time
+	revert func(s *Store)
+}
+
+// maxCopyAge bounds the age of the copies that a store can be restored from.
+const maxCopyAge = time.Minute
+
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{values: map[string]storedValue{}, leaseExpiries: map[string]time.Time{}, changed: make(chan struct{})}
+	return &Store{values: map[string]storedValue{}, leaseExpiries: map[string]time.Time{}, changed: make(chan struct{}), era: 1}
 }
 
 // SetFaults replaces the injected faults.
@@ -91,9 +104,111 @@
 	s.removeExpired()
 }
 
+// Restore replaces the content by that of an earlier time, at most maxCopyAge ago.
+// Later writes and leases are gone, their versions are given out again, and the
+// era rises.
+func (s *Store) Restore(copied time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for len(s.undo) > 0 && !s.undo[len(s.undo)-1].at.Before(copied) {
+		s.undo[len(s.undo)-1].revert(s)
+		s.undo = s.undo[:len(s.undo)-1]
+	}
+	s.undo = nil // a later restoration has no copy from before this one
+	s.era++
+	s.notifyWatchers()
+}
+
+// rememberKey keeps what reverts the next change of a key. The caller holds mu.
+func (s *Store) rememberKey(key string) {
+	version := s.lastVersion
+	before, existed := s.values[key]
+	if !existed {
+		s.remember(func(s *Store) { delete(s.values, key); s.lastVersion = version })
+		return
+	}
+	s.remember(func(s *Store) { s.values[key], s.lastVersion = before, version })
+}
+
+// rememberLease keeps what reverts the next change of a lease. The caller holds mu.
+func (s *Store) rememberLease(id string) {
+	before, existed := s.leaseExpiries[id]
+	s.remember(func(s *Store) {
+		if s.leaseExpiries[id] = before; !existed {
+			delete(s.leaseExpiries, id)
+		}
+	})
+}
+
+func (s *Store) remember(revert func(s *Store)) {
+	now := time.Now()
+	for len(s.undo) > 0 && now.Sub(s.undo[0].at) > maxCopyAge {
+		s.undo = s.undo[1:]
+	}
+	s.undo = append(s.undo, undoStep{now, revert})
+}
+
 // Client returns a store client that calls s directly.
 func (s *Store) Client() *storer.Store {
-	return &storer.Store{Get: s.get, Swap: s.swap, List: s.list, Watch: s.watch, Lease: s.lease}
+	c := &storeClient{Store: s}
+	return &storer.Store{Get: c.get, Swap: c.swap, List: c.list, Watch: c.watch, Lease: c.lease, Eras: &c.eras}
+}
+
+// storeClient is one client of a store. Like that of a real store it learns of a
+// restoration by the replies.
+type storeClient struct {
+	*Store
+	eras storer.EraTracker
+}
+
+func (c *storeClient) get(ctx context.Context, key string) (storer.Entry, error) {
+	e, era, err := c.Store.get(ctx, key)
+	return c.withVersion(e, era), c.observe(era, err)
+}
+
+// observe returns err, or the error of a reply of an earlier era.
+func (c *storeClient) observe(era uint64, err error) error {
+	if observed := c.eras.Observe(era); err == nil {
+		return observed
+	}
+	return err
+}
+
+func (c *storeClient) withVersion(e storer.Entry, era uint64) storer.Entry {
+	e.Version = storer.Version(era, e.Version)
+	return e
+}
+
+func (c *storeClient) swap(ctx context.Context, key string, value []byte, version uint64, lease string) (uint64, error) {
+	get := func() (uint64, error) {
+		e, err := c.get(ctx, key)
+		return e.Version, err
+	}
+	return c.eras.Swap(version, get, func(revision uint64) (uint64, uint64, error) {
+		era, current, err := c.Store.swap(ctx, key, value, revision, lease)
+		return era, current, c.observe(era, err)
+	})
+}
+
+func (c *storeClient) list(ctx context.Context, prefix string) ([]storer.Entry, error) {
+	entries, era, err := c.Store.list(ctx, prefix)
+	for i := range entries {
+		entries[i] = c.withVersion(entries[i], era)
+	}
+	return entries, c.observe(era, err)
+}
+
+func (c *storeClient) watch(ctx context.Context, key string, version uint64, wait time.Duration) (storer.Entry, error) {
+	if e := storer.Version(c.eras.Current(), storer.Revision(version)); e != version {
+		return c.get(ctx, key)
+	}
+	e, era, err := c.Store.watch(ctx, key, storer.Revision(version), wait)
+	return c.withVersion(e, era), c.observe(era, err)
+}
+
+func (c *storeClient) lease(ctx context.Context, id string, ttl time.Duration) error {
+	era, err := c.Store.lease(ctx, id, ttl)
+	return c.observe(era, err)
 }
 
 func (s *Store) notifyWatchers() {
@@ -130,6 +245,7 @@
 	removed := false
 	for k, v := range s.values {
 		if v.lease != "" && !now.Before(s.leaseExpiries[v.lease]) {
+			s.rememberKey(k)
 			delete(s.values, k)
 			removed = true
 		}
@@ -147,32 +263,33 @@
 	return storer.Entry{Key: key, Value: v.value, Version: v.version}
 }
 
-func (s *Store) get(ctx context.Context, key string) (storer.Entry, error) {
+func (s *Store) get(ctx context.Context, key string) (storer.Entry, uint64, error) {
 	if err := s.beginCall(ctx, false); err != nil {
-		return storer.Entry{}, err
+		return storer.Entry{}, 0, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.removeExpired()
-	return s.entry(key), nil
+	return s.entry(key), s.era, nil
 }
 
-func (s *Store) swap(ctx context.Context, key string, value []byte, version uint64, lease string) (uint64, error) {
+func (s *Store) swap(ctx context.Context, key string, value []byte, version uint64, lease string) (era, current uint64, err error) {
 	if err := s.beginCall(ctx, true); err != nil {
-		return 0, err
+		return 0, 0, err
 	}
 	if len(value) > storer.MaxValueBytes {
-		return 0, errors.New("faker: value exceeds storer.MaxValueBytes")
+		return 0, 0, errors.New("faker: value exceeds storer.MaxValueBytes")
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.removeExpired()
 	if s.values[key].version != version {
-		return s.values[key].version, storer.ErrConflict
+		return s.era, s.values[key].version, storer.ErrConflict
 	}
 	if lease != "" && !time.Now().Before(s.leaseExpiries[lease]) {
-		return 0, storer.ErrNoLease
+		return s.era, 0, storer.ErrNoLease
 	}
+	s.rememberKey(key)
 	s.lastVersion++
 	if value == nil {
 		delete(s.values, key)
@@ -181,14 +298,14 @@
 	}
 	s.notifyWatchers()
 	if s.faults.LoseReplies {
-		return 0, ErrReplyLost
+		return 0, 0, ErrReplyLost
 	}
-	return s.lastVersion, nil
+	return s.era, s.lastVersion, nil
 }
 
-func (s *Store) list(ctx context.Context, prefix string) ([]storer.Entry, error) {
+func (s *Store) list(ctx context.Context, prefix string) ([]storer.Entry, uint64, error) {
 	if err := s.beginCall(ctx, false); err != nil {
-		return nil, err
+		return nil, 0, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -200,46 +317,50 @@
 		}
 	}
 	sort.Slice(out, func(i, j int) bool { return out[i].Key < out[j].Key })
-	return out, nil
+	return out, s.era, nil
 }
 
-func (s *Store) watch(ctx context.Context, key string, version uint64, wait time.Duration) (storer.Entry, error) {
+func (s *Store) watch(ctx context.Context, key string, version uint64, wait time.Duration) (storer.Entry, uint64, error) {
 	if err := s.beginCall(ctx, false); err != nil {
-		return storer.Entry{}, err
+		return storer.Entry{}, 0, err
 	}
 	timeout := time.NewTimer(wait)
 	defer timeout.Stop()
+	s.mu.Lock()
+	firstEra := s.era
+	s.mu.Unlock()
 	for {
 		s.mu.Lock()
 		s.removeExpired()
-		e, f, changed := s.entry(key), s.faults, s.changed
+		e, f, changed, era := s.entry(key), s.faults, s.changed, s.era
 		s.mu.Unlock()
 		if f.Down {
-			return storer.Entry{}, ErrStoreDown
+			return storer.Entry{}, 0, ErrStoreDown
 		}
-		if e.Version != version && !f.Deaf {
-			return e, nil
+		if era != firstEra || e.Version != version && !f.Deaf {
+			return e, era, nil
 		}
 		select {
 		case <-changed:
 		case <-timeout.C:
-			return e, nil
+			return e, era, nil
 		case <-ctx.Done():
-			return storer.Entry{}, ctx.Err()
+			return storer.Entry{}, 0, ctx.Err()
 		}
 	}
 }
 
-func (s *Store) lease(ctx context.Context, id string, ttl time.Duration) error {
+func (s *Store) lease(ctx context.Context, id string, ttl time.Duration) (uint64, error) {
 	if err := s.beginCall(ctx, true); err != nil {
-		return err
+		return 0, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.removeExpired()
+	s.rememberLease(id)
 	s.leaseExpiries[id] = time.Now().Add(ttl)
 	if s.faults.LoseReplies {
-		return ErrReplyLost
+		return 0, ErrReplyLost
 	}
-	return nil
+	return s.era, nil
 }
--- a/internal/faker/storehttp.go
+++ b/internal/faker/storehttp.go
@@ -13,7 +13,8 @@
 )
 
 // Handler serves the store over HTTP in the protocol of storer.Dial, plus
-// GET and PUT /v1/faults and GET /v1/counts.
+// GET and PUT /v1/faults, GET /v1/counts and POST /v1/restore, which restores the
+// content of an earlier time.
 func (s *Store) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/keys/{key}", s.serveGet)
@@ -22,6 +23,7 @@
 	mux.HandleFunc("GET /v1/list/{prefix}", s.serveList)
 	mux.HandleFunc("GET /v1/watch/{key}", s.serveWatch)
 	mux.HandleFunc("PUT /v1/leases/{id}", s.serveLease)
+	mux.HandleFunc("POST /v1/restore", s.serveRestore)
 	mux.HandleFunc("GET /v1/faults", s.serveFaults)
 	mux.HandleFunc("PUT /v1/faults", s.serveSetFaults)
 	mux.HandleFunc("GET /v1/counts", s.serveCounts)
@@ -44,6 +46,12 @@
 	}
 }
 
+func setEra(w http.ResponseWriter, era uint64) {
+	if era != 0 {
+		w.Header().Set(storer.EraHeader, strconv.FormatUint(era, 10))
+	}
+}
+
 func writeEntry(w http.ResponseWriter, e storer.Entry) {
 	w.Header().Set(storer.VersionHeader, strconv.FormatUint(e.Version, 10))
 	_, _ = w.Write(e.Value)
@@ -55,7 +63,8 @@
 }
 
 func (s *Store) serveGet(w http.ResponseWriter, r *http.Request) {
-	e, err := s.get(r.Context(), r.PathValue("key"))
+	e, era, err := s.get(r.Context(), r.PathValue("key"))
+	setEra(w, era)
 	if err != nil {
 		writeError(w, err)
 		return
@@ -78,7 +87,8 @@
 		http.Error(w, "version is not an unsigned integer", http.StatusBadRequest)
 		return
 	}
-	newVersion, err := s.swap(r.Context(), r.PathValue("key"), value, v, r.Header.Get(storer.LeaseHeader))
+	era, newVersion, err := s.swap(r.Context(), r.PathValue("key"), value, v, r.Header.Get(storer.LeaseHeader))
+	setEra(w, era)
 	w.Header().Set(storer.VersionHeader, strconv.FormatUint(newVersion, 10))
 	if err != nil {
 		writeError(w, err)
@@ -86,7 +96,8 @@
 }
 
 func (s *Store) serveList(w http.ResponseWriter, r *http.Request) {
-	entries, err := s.list(r.Context(), r.PathValue("prefix"))
+	entries, era, err := s.list(r.Context(), r.PathValue("prefix"))
+	setEra(w, era)
 	if err != nil {
 		writeError(w, err)
 		return
@@ -105,7 +116,8 @@
 		http.Error(w, "wait is not a duration", http.StatusBadRequest)
 		return
 	}
-	e, err := s.watch(r.Context(), r.PathValue("key"), v, wait)
+	e, era, err := s.watch(r.Context(), r.PathValue("key"), v, wait)
+	setEra(w, era)
 	if err != nil {
 		writeError(w, err)
 		return
@@ -121,11 +133,24 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	if err := s.lease(r.Context(), r.PathValue("id"), body.TTL); err != nil {
+	era, err := s.lease(r.Context(), r.PathValue("id"), body.TTL)
+	setEra(w, era)
+	if err != nil {
 		writeError(w, err)
 	}
 }
 
+func (s *Store) serveRestore(w http.ResponseWriter, r *http.Request) {
+	var body struct {
+		Copied time.Time `json:"copied"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.Restore(body.Copied)
+}
+
 func (s *Store) serveFaults(w http.ResponseWriter, _ *http.Request) {
 	writeJSON(w, s.Faults())
 }
--- a/internal/measurer/measurer.go
+++ b/internal/measurer/measurer.go
@@ -89,6 +89,7 @@
 // InstrumentStore returns a store that records each call to s.
 func (m *Measurer) InstrumentStore(s *storer.Store) *storer.Store {
 	return &storer.Store{
+		Eras: s.Eras,
 		Get: func(ctx context.Context, key string) (e storer.Entry, err error) {
 			defer func(start time.Time) { m.StoreCall("get", start, err) }(time.Now())
 			return s.Get(ctx, key)
--- a/internal/storer/store.go
+++ b/internal/storer/store.go
@@ -29,7 +29,7 @@
 	// Value has at most MaxValueBytes bytes. It is shared: do not modify it.
 	Value []byte
 	// Version increases with each write of the key; 0 means that the key does
-	// not exist.
+	// not exist. After a restoration of the store it is above all earlier ones.
 	Version uint64
 }
 
@@ -50,4 +50,6 @@
 	// Lease grants or renews a lease. The store deletes the keys of an expired
 	// lease.
 	Lease func(ctx context.Context, id string, ttl time.Duration) error
+	// Eras follows the restorations of the store from an older copy.
+	Eras *EraTracker
 }
