prober: a node writes its record again after the store was restored

What would be seen: after a restoration a node whose record is younger than the copy is on no record for up to six minutes. A process that starts meanwhile and hears of no one else finds only those that the copy has; after a restart of many it is alone and refuses its callers.

Cause: the record and its lease were taken to be in the store because they were once acknowledged; they are checked every five minutes.

The store's era now spreads with the heartbeats as a third number, in a last field that earlier builds ignore, and each node writes its record anew at a random time within five seconds of a higher era.

--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -73,6 +73,12 @@
 	return &authenticator.Authenticator{Index: c.Index, NewestStamp: p.NewestStamp, AcceptUnconfirmed: s.PrefersAvailability()}
 }
 
+// noteEra tells those who keep something in the store that it was restored from an
+// older copy since an earlier era.
+func (c components) noteEra(era uint64) {
+	c.MemberRecorder.NoteEra(era)
+}
+
 // bindState connects membership, configuration and target gossip to other nodes.
 func bindState(c components) {
 	c.Prober.OnChange = func(m prober.Member) {
@@ -83,10 +89,16 @@
 		return readStoreNumbers(ctx, c)
 	}
 	c.Prober.OnNumber = func(k prober.Kind, number uint64) {
-		if k == prober.ConfigNumber {
+		switch k {
+		case prober.ConfigNumber:
 			c.Configurer.NoteNumber(number)
+		case prober.EraNumber:
+			c.noteEra(number)
 		}
 	}
+	if eras := c.Platform.Store.Eras; eras != nil {
+		eras.OnAdvance = func(_, era uint64) { c.Prober.RaiseNumber(prober.EraNumber, era) }
+	}
 	c.Configurer.SendQuery = func(ctx context.Context, node string, q *configurer.Query) (*configurer.Reply, error) {
 		return linker.SendTypedQuery[configurer.Query, configurer.Reply](ctx, c.Linker, node, linker.MethodConfiguration, q)
 	}
--- a/internal/prober/census.go
+++ b/internal/prober/census.go
@@ -55,7 +55,7 @@
 		return
 	}
 	c.answered[q.From] = true
-	p.stamps.raiseNumbers(q.Numbers)
+	p.stamps.raiseNumbers(q.numbers())
 	p.finishCensus()
 }
 
--- a/internal/prober/gossip.go
+++ b/internal/prober/gossip.go
@@ -110,7 +110,7 @@
 	q.From, q.FromEpoch, q.ToEpoch, q.Seq = p.self.Name, p.self.Epoch, toEpoch, p.sequence
 	q.Clock = time.Since(p.started)
 	q.Digest = p.digest()
-	q.Numbers = p.stamps.numbers
+	q.setNumbers(p.stamps.numbers)
 	if q.Stamp == nil && q.Kind != censusRequest {
 		q.Stamp = p.stamps.stampWithAge(p.stamps.newest)
 	}
--- a/internal/prober/packet.go
+++ b/internal/prober/packet.go
@@ -78,8 +78,9 @@
 	Reached bool
 	// Digest is the digest of the sender's member list.
 	Digest uint64
-	// Numbers holds the highest numbers that the sender knows, by Kind.
-	Numbers [kindCount]uint64
+	// Numbers holds the highest numbers of the first kinds that the sender knows,
+	// by Kind. Era has that of EraNumber.
+	Numbers [stampedKinds]uint64
 	// Stamp is the sender's newest stamp, in a censusReply the newest from the
 	// store if there is one. It is nil in a censusRequest and while the sender
 	// has none.
@@ -87,8 +88,19 @@
 	// Updates holds encoded updates.
 	Updates []msgpack.RawMessage
 	// Buckets holds the digests of the sender's member list in a bucketRequest.
-	// It is the last field: processes of an earlier version ignore it.
 	Buckets []uint64
+	// Era is the highest era of the store that the sender knows. Buckets and Era
+	// are the last fields: processes of an earlier version ignore them.
+	Era uint64
+}
+
+func (q *packet) setNumbers(n Numbers) {
+	copy(q.Numbers[:], n[:])
+	q.Era = n[EraNumber]
+}
+
+func (q *packet) numbers() Numbers {
+	return Numbers{ConfigNumber: q.Numbers[ConfigNumber], SharesNumber: q.Numbers[SharesNumber], EraNumber: q.Era}
 }
 
 // update is a gossip update about one member. It overrides what is known of the
--- a/internal/prober/recorder.go
+++ b/internal/prober/recorder.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -31,6 +32,9 @@
 	// write, the latter is the mean time until the next try.
 	storeOnlyWriteSpread   = 150 * time.Millisecond
 	storeOnlyRetryInterval = time.Second
+	// rewriteSpread bounds the random delay after a restoration of the store, of
+	// which all nodes hear at the same time.
+	rewriteSpread = 5 * time.Second
 	// retryInterval is the mean time until a failed call is tried again.
 	retryInterval = 15 * time.Second
 	// callTimeout bounds a write or read of records, removeTimeout the removal
@@ -54,6 +58,35 @@
 	StoreOnlyDiscovery bool
 
 	version uint64
+
+	mu sync.Mutex
+	// era is the highest era of the store that is known, 0 before there is one.
+	era      uint64
+	restored chan struct{}
+}
+
+// NoteEra records an era of the store. The record and the lease of an earlier one
+// may be gone, so that Run writes the record anew. It does not block.
+func (r *MemberRecorder) NoteEra(era uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	previous := r.era
+	if r.era = max(previous, era); previous == 0 || era <= previous {
+		return
+	}
+	select {
+	case r.restoredSignal() <- struct{}{}:
+	default:
+	}
+}
+
+// restoredSignal returns the channel that signals a restoration. The caller holds
+// mu.
+func (r *MemberRecorder) restoredSignal() chan struct{} {
+	if r.restored == nil {
+		r.restored = make(chan struct{}, 1)
+	}
+	return r.restored
 }
 
 // Run keeps the record of this node until ctx ends, then removes it.
@@ -66,6 +99,9 @@
 	read := time.NewTimer(r.firstReadDelay())
 	defer write.Stop()
 	defer read.Stop()
+	r.mu.Lock()
+	restored := r.restoredSignal()
+	r.mu.Unlock()
 	for {
 		select {
 		case <-ctx.Done():
@@ -73,6 +109,10 @@
 			return nil
 		case <-write.C:
 			write.Reset(jitter(r.attempt(ctx, "write", r.write, renewInterval)))
+		case <-restored:
+			if r.version != 0 {
+				write.Reset(rand.N(rewriteSpread))
+			}
 		case <-read.C:
 			read.Reset(jitter(r.readOrPostpone(ctx)))
 		}
--- a/internal/prober/stamp.go
+++ b/internal/prober/stamp.go
@@ -18,8 +18,13 @@
 	ConfigNumber Kind = iota
 	// SharesNumber is the number of the share assignment.
 	SharesNumber
+	// EraNumber is the era of the store, which rises each time that the store is
+	// restored from an older copy.
+	EraNumber
 
-	kindCount = 2
+	kindCount = 3
+	// stampedKinds is how many of the kinds the store confirms with stamps.
+	stampedKinds = 2
 )
 
 // Numbers holds the numbers of all kinds, indexed by Kind.
@@ -179,7 +184,7 @@
 // mergeNumbersAndStamp merges the numbers and the stamp of a packet into the known
 // ones and pushes gossip if they changed. The caller holds the lock.
 func (p *Prober) mergeNumbersAndStamp(e *memberEntry, q *packet, now time.Time) {
-	if p.stamps.raiseNumbers(q.Numbers) {
+	if p.stamps.raiseNumbers(q.numbers()) {
 		p.pushNumbers(now)
 	}
 	if q.Stamp != nil {
--- a/internal/prober/stamp_test.go
+++ b/internal/prober/stamp_test.go
@@ -11,7 +11,7 @@
 )
 
 func alwaysConfirm(n uint64) func(context.Context) (Numbers, error) {
-	return func(context.Context) (Numbers, error) { return Numbers{n, 1}, nil }
+	return func(context.Context) (Numbers, error) { return Numbers{ConfigNumber: n, SharesNumber: 1}, nil }
 }
 
 // fakeStore answers Confirm in place of the store.
@@ -26,7 +26,7 @@
 	if s.down.Load() {
 		return Numbers{}, errors.New("down")
 	}
-	return Numbers{s.number.Load(), 1}, nil
+	return Numbers{ConfigNumber: s.number.Load(), SharesNumber: 1}, nil
 }
 
 // oldestStampAge returns the greatest age of any node's newest stamp over a
