quarantiner: a restored store changes no quarantine

What would be seen: after the store came back from an older copy and the fleet restarted, a request that is known to crash targets was sent to them again, or one that an operator had released was refused again.

Cause: a quarantine counted as kept once it was acknowledged, and what a started node finds in the store as what is in force. Now the three nodes with the highest hashes for a request write it again when the era of the store rises, and three others remove what the copy brings back of released requests.

--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -77,6 +77,7 @@
 // older copy since an earlier era.
 func (c components) noteEra(era uint64) {
 	c.MemberRecorder.NoteEra(era)
+	c.Quarantiner.NoteEra(era)
 }
 
 // bindState connects membership, configuration and target gossip to other nodes.
--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -69,6 +69,10 @@
 	unsaved map[messenger.Fingerprint]bool
 	// loaded is set once this node knows what is kept in the store.
 	loaded bool
+	// era is the highest known era of the store, and reload is set while the store
+	// must be read again since a later one began.
+	era    uint64
+	reload bool
 	// lastNews is when a new report came.
 	lastNews   time.Time
 	wake, news chan struct{}
@@ -138,7 +142,7 @@
 	highest := uint64(0)
 	for _, names := range q.Sampler.Alive() {
 		for _, name := range names {
-			if h := xxhash.Sum64String(name + " " + request.String()); h >= highest {
+			if h := trialRank(name, request); h >= highest {
 				node, highest = name, h
 			}
 		}
@@ -146,6 +150,11 @@
 	return node
 }
 
+// trialRank orders the nodes differently for each request.
+func trialRank(node string, request messenger.Fingerprint) uint64 {
+	return xxhash.Sum64String(node + " " + request.String())
+}
+
 // ReportCrash reports that a target of this node crashed.
 func (q *Quarantiner) ReportCrash(c crashwatcher.Crash) {
 	r := crashReport(q.Sampler.Node, c)
--- a/internal/quarantiner/quarantiner_test.go
+++ b/internal/quarantiner/quarantiner_test.go
@@ -88,6 +88,7 @@
 		},
 		Store: f.store.Client(), Log: logr.Discard(),
 	}
+	q.Store.Eras.OnAdvance = func(_, era uint64) { f.noteEra(era) }
 	list := q.Store.List
 	q.Store.List = func(ctx context.Context, prefix string) ([]storer.Entry, error) {
 		f.reads.Add(1)
@@ -101,6 +102,15 @@
 	go func() { _ = q.Run(ctx) }()
 }
 
+// noteEra tells all nodes an era of the store, as heartbeats do.
+func (f *fleet) noteEra(era uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, q := range f.nodes {
+		go q.NoteEra(era)
+	}
+}
+
 func (f *fleet) close() {
 	for _, stop := range f.stops {
 		stop()
--- a/internal/quarantiner/spread.go
+++ b/internal/quarantiner/spread.go
@@ -1,8 +1,10 @@
 package quarantiner
 
 import (
+	"bytes"
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -39,6 +41,9 @@
 	maxStoreInterval = 8 * time.Second
 	queryTimeout     = 2 * time.Second
 	storeTimeout     = 2 * time.Second
+	// keepers is how many nodes write a quarantine to the store again after the
+	// store was restored.
+	keepers = 3
 	// KeyPrefix is the prefix of the store's keys.
 	KeyPrefix = "quarantine/"
 )
@@ -196,6 +201,43 @@
 	q.loaded = true
 }
 
+// NoteEra records an era of the store. After a restoration from an older copy the
+// store may lack quarantines and have some that were released, which a few nodes
+// put right for all. It does not block.
+func (q *Quarantiner) NoteEra(era uint64) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	previous := q.era
+	if q.era = max(previous, era); previous == 0 || era <= previous {
+		return
+	}
+	if v := q.verdicts.Load(); v != nil {
+		for request := range v.quarantinedUntil {
+			if q.isKeeper(request) {
+				q.saveLater(request)
+			}
+		}
+	}
+	if q.isKeeper(messenger.Fingerprint(era)) {
+		q.reload = true
+		signal(q.wake)
+	}
+}
+
+// isKeeper reports whether this node is one of the keepers of a request. All nodes
+// with the same member list agree.
+func (q *Quarantiner) isKeeper(request messenger.Fingerprint) bool {
+	own, above := trialRank(q.Sampler.Node, request), 0
+	for _, names := range q.Sampler.Alive() {
+		for _, name := range names {
+			if trialRank(name, request) > own {
+				above++
+			}
+		}
+	}
+	return above < keepers
+}
+
 // saveLater has the store brought up to date with a request that is in quarantine
 // now, or no longer. The caller holds the lock.
 func (q *Quarantiner) saveLater(request messenger.Fingerprint) {
@@ -210,7 +252,7 @@
 // reports whether nothing is left to do.
 func (q *Quarantiner) syncStore(ctx context.Context) bool {
 	q.mu.Lock()
-	loaded := q.loaded
+	load := !q.loaded || q.reload
 	unsaved := make([]messenger.Fingerprint, 0, len(q.unsaved))
 	for request := range q.unsaved {
 		unsaved = append(unsaved, request)
@@ -218,7 +260,7 @@
 	q.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	if !loaded {
+	if load {
 		if err := q.load(ctx); err != nil {
 			q.Log.V(1).Info("quarantines not read", "error", err.Error())
 			return false
@@ -233,26 +275,41 @@
 	return true
 }
 
-// load reads what is kept in the store, and removes what no longer counts.
+// load reads what is kept in the store, and removes what no longer counts. A node
+// that was loaded before knows too which requests were released.
 func (q *Quarantiner) load(ctx context.Context) error {
 	entries, err := q.Store.List(ctx, KeyPrefix)
 	if err != nil {
 		return err
 	}
-	for _, e := range entries {
-		var reports []Report
-		if err := msgpack.Unmarshal(e.Value, &reports); err != nil {
+	stored := make([][]Report, len(entries))
+	for i, e := range entries {
+		if err := msgpack.Unmarshal(e.Value, &stored[i]); err != nil {
 			q.Log.Error(err, "quarantine in the store cannot be read", "key", e.Key)
 			continue
 		}
-		if q.merge(reports, false); !q.keepsAny(reports) {
+		q.merge(stored[i], false)
+	}
+	q.mu.Lock()
+	reloads := q.loaded
+	q.mu.Unlock()
+	for i, e := range entries {
+		released := reloads && !slices.ContainsFunc(stored[i], q.blames)
+		if len(stored[i]) > 0 && (released || !q.keepsAny(stored[i])) {
 			q.remove(ctx, e)
 		}
 	}
-	q.setLoaded()
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.loaded, q.reload = true, false
 	return nil
 }
 
+// blames reports whether a request of a report is in quarantine.
+func (q *Quarantiner) blames(r Report) bool {
+	return slices.ContainsFunc(r.Requests, q.quarantines)
+}
+
 // keepsAny reports whether any of the reports counts.
 func (q *Quarantiner) keepsAny(reports []Report) bool {
 	q.mu.Lock()
@@ -284,7 +341,7 @@
 	if q.quarantines(request) {
 		value = messenger.Encode(q.reportsToSave(request))
 	}
-	if value != nil || e.Version != 0 {
+	if value != nil && !bytes.Equal(value, e.Value) || value == nil && e.Version != 0 {
 		if _, err := q.Store.Swap(ctx, key, value, e.Version, ""); err != nil {
 			return err
 		}
