assigner: an older share assignment of a restored store is not acted on

What would be seen: where rates are strict, a workspace got up to twice its rate after the store had come back from an older copy, while the nodes that held the shares did not reach it.

Cause: a started node took the assignment that the store has as the newest one and moved shares of processes that had ended before; its change got the number that a later assignment already had, so that nobody saw the two as different. An empty store was taken as one whose shares were never used.

Now nothing is derived from an assignment below the number that the fleet knows, or of the same number under another key. A node asks its peers for the newest one, and the nodes try in turn to write it again with the next number. If no member has it for twice the time after which a holder counts as gone, the stored one takes the next number. In a store that was restored before, the first assignment is not number 1.

--- a/internal/assigner/assigner.go
+++ b/internal/assigner/assigner.go
@@ -35,6 +35,9 @@
 	// read from the store.
 	DefaultMaxStampAge = 3 * time.Second
 
+	// firstEra is the era of a store that was never restored.
+	firstEra = 1
+
 	storeTimeout = time.Second
 	// claimWritersPerStep is the approximate number of nodes that write claims
 	// in one step interval.
@@ -81,6 +84,9 @@
 	// Tracer records events. It may be nil.
 	Tracer *tracer.Tracer
 
+	// notedEra is the highest known era of the store.
+	notedEra atomic.Uint64
+
 	current atomic.Pointer[Assignment]
 	plan    atomic.Pointer[cachedPlan]
 	mu      sync.Mutex
@@ -96,9 +102,17 @@
 // loopState is what Step keeps between calls.
 type loopState struct {
 	startedAt, fetchedAt time.Time
-	// headVersion and head are what the store held when it was last read.
+	// headVersion and head are what the store held when it was last read, and
+	// readEra is the era that was known then.
 	headVersion uint64
 	head        head
+	readEra     uint64
+	// adoptedBody is the store key of the current assignment, or empty if a peer
+	// sent it. outdatedSince is when the store was found to hold an older one, and
+	// outdatedNumber the newest number known then.
+	adoptedBody    string
+	outdatedSince  time.Time
+	outdatedNumber uint64
 	// writesClaims reports whether this step writes claims. In a large fleet
 	// only a few nodes do so at a time.
 	writesClaims     bool
@@ -156,11 +170,11 @@
 	if a.state.startedAt.IsZero() {
 		a.state = loopState{startedAt: a.now(), missingSince: map[string]time.Time{}}
 	}
-	if a.isOutdated() {
+	if a.isOutdated() && !a.awaitsTurn() {
 		a.fetch(ctx)
 	}
 	assignment := a.Assignment()
-	if assignment == nil {
+	if assignment == nil || !a.state.outdatedSince.IsZero() {
 		return
 	}
 	a.state.writesClaims = rand.IntN(1+len(a.Members())/claimWritersPerStep) == 0
@@ -175,7 +189,21 @@
 	}
 }
 
+// NoteEra records an era of the store. After a restoration from an older copy the
+// store may hold an older share assignment, so that it is read at once.
+func (a *Assigner) NoteEra(era uint64) {
+	for {
+		known := a.notedEra.Load()
+		if era <= known || a.notedEra.CompareAndSwap(known, era) {
+			return
+		}
+	}
+}
+
 func (a *Assigner) isOutdated() bool {
+	if a.notedEra.Load() > a.state.readEra {
+		return true
+	}
 	assignment, sinceFetch := a.Assignment(), a.now().Sub(a.state.fetchedAt)
 	if assignment == nil || sinceFetch > orDefault(a.PollInterval, DefaultPollInterval) {
 		return true
@@ -187,7 +215,7 @@
 func (a *Assigner) fetch(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	at := a.now()
+	at, era := a.now(), a.notedEra.Load()
 	e, err := a.Store.Get(ctx, Key)
 	if err != nil {
 		a.fetchFromPeer(ctx)
@@ -199,16 +227,91 @@
 		return
 	}
 	a.state.headVersion, a.state.head = e.Version, h
+	if a.isFromOlderCopy(h) {
+		a.state.fetchedAt = time.Time{}
+		a.fetchFromPeer(ctx)
+		a.writeAgain(ctx)
+		return
+	}
+	a.state.outdatedSince = time.Time{}
 	if e.Version == 0 {
 		a.create(ctx)
 		return
 	}
 	if assignment := a.loadBody(ctx, h); assignment != nil {
-		a.state.fetchedAt = at
+		a.state.fetchedAt, a.state.readEra, a.state.adoptedBody = at, era, h.Body
 		a.adopt(assignment, at)
 	}
 }
 
+// isFromOlderCopy reports whether the store holds an older share assignment than
+// this node or the fleet knows, or one that was made of an older one, as it may
+// once it was restored. Nothing may be derived from that, since other processes
+// hold shares by the later one.
+func (a *Assigner) isFromOlderCopy(h head) bool {
+	if number, _, ok := a.NewestNumber(); ok && h.Number < number {
+		return true
+	}
+	own := a.Assignment()
+	if own == nil {
+		return false
+	}
+	return h.Number < own.Number || h.Number == own.Number && a.state.adoptedBody != "" && h.Body != a.state.adoptedBody
+}
+
+// awaitsTurn reports whether the store holds an older assignment and other nodes
+// are to write the newest one before this node tries. It ends once a newer number
+// is known.
+func (a *Assigner) awaitsTurn() bool {
+	if a.state.outdatedSince.IsZero() {
+		return false
+	}
+	if number, _, ok := a.NewestNumber(); ok && number > a.state.outdatedNumber {
+		a.state.outdatedSince = time.Time{}
+		return false
+	}
+	turn := time.Duration(writePosition(a.Members(), a.Self.Name, "restored")) * a.stepInterval()
+	return a.now().Sub(a.state.outdatedSince) < turn
+}
+
+// writeAgain writes the assignment that the store has lost, with the next number,
+// if this node has the newest one. The nodes try one after the other. If no member
+// turns out to have it, its holders are gone, and what the store holds takes the
+// next number.
+func (a *Assigner) writeAgain(ctx context.Context) {
+	number, _, _ := a.NewestNumber()
+	if own := a.Assignment(); own != nil {
+		number = max(number, own.Number)
+	}
+	if a.state.outdatedSince.IsZero() {
+		a.state.outdatedSince, a.state.outdatedNumber = a.now(), number
+	}
+	if a.awaitsTurn() {
+		return
+	}
+	next := a.Assignment()
+	if next == nil || next.Number < number {
+		if a.now().Sub(a.state.outdatedSince) < 2*orDefault(a.HolderTimeout, DefaultHolderTimeout) {
+			return
+		}
+		if next = a.stored(ctx); next == nil {
+			return
+		}
+	}
+	a.Tracer.Add(tracer.Event{Kind: "shares-restored", Detail: fmt.Sprintf("the store had assignment %d, the newest is %d", a.state.head.Number, number)})
+	a.write(ctx, next.withNumber(number+1))
+}
+
+// stored returns the assignment that the store holds, a first one if it holds
+// none, or nil if it cannot be read.
+func (a *Assigner) stored(ctx context.Context) *Assignment {
+	if a.state.headVersion == 0 {
+		wide, config := a.wideHashes()
+		return New(0, Plan(a.Members()), wide, config)
+	}
+	return a.readBody(ctx, a.state.head)
+}
+
 // fetchFromPeer adopts a peer's assignment if it is newer, while the store does
 // not answer. This is safe since every assignment that a node has was
 // committed.
@@ -222,20 +325,23 @@
 	defer cancel()
 	assignment, err := a.Peer(ctx)
 	if err == nil && assignment != nil && (own == nil || assignment.Number > own.Number) {
+		a.state.adoptedBody = ""
 		a.adopt(assignment, time.Time{})
 	}
 }
 
 // loadBody returns the assignment that a head refers to, from the store unless
-// this node has it. It returns nil if the store does not return it, or if a
-// newer one has replaced it.
+// this node has it, or nil.
 func (a *Assigner) loadBody(ctx context.Context, h head) *Assignment {
-	if own := a.Assignment(); own != nil && h.Number <= own.Number {
-		if h.Number < own.Number {
-			return nil // the store holds an older state; nothing is confirmed
-		}
+	if own := a.Assignment(); own != nil && h.Number == own.Number {
 		return own
 	}
+	return a.readBody(ctx, h)
+}
+
+// readBody reads the assignment that a head refers to from the store. It returns
+// nil if the store does not return it, or if a newer one has replaced it.
+func (a *Assigner) readBody(ctx context.Context, h head) *Assignment {
 	e, err := a.Store.Get(ctx, h.Body)
 	if err != nil || e.Version == 0 {
 		return nil
@@ -260,21 +366,20 @@
 	}
 }
 
-// create writes an assignment to a store that has none. A node that already has
-// one continues from its number, since number 1 means that the shares were
-// never used.
+// create writes an assignment to a store that has none. Number 1 means that the
+// shares were never used, which a restored store cannot tell.
 func (a *Assigner) create(ctx context.Context) {
 	members := a.Members()
 	delay := orDefault(a.SettleDelay, DefaultSettleDelay) + time.Duration(writePosition(members, a.Self.Name, Key))*a.stepInterval()
 	if a.now().Sub(a.state.startedAt) < delay {
 		return
 	}
-	if own := a.Assignment(); own != nil {
-		a.write(ctx, own.Next(nil, own.Wide, own.Config))
-		return
+	number := uint64(1)
+	if a.Store.Eras != nil && a.Store.Eras.Current() > firstEra {
+		number++
 	}
 	wide, config := a.wideHashes()
-	a.write(ctx, New(1, Plan(members), wide, config))
+	a.write(ctx, New(number, Plan(members), wide, config))
 }
 
 func (a *Assigner) stepInterval() time.Duration {
@@ -300,7 +405,7 @@
 		a.traceWriteFailure(err)
 		return
 	}
-	a.state.headVersion, a.state.head, a.state.fetchedAt = version, next, at
+	a.state.headVersion, a.state.head, a.state.fetchedAt, a.state.adoptedBody = version, next, at, next.Body
 	if replaced.Body != "" {
 		a.deleteBody(ctx, replaced.Body, 0)
 	}
--- a/internal/assigner/assignment.go
+++ b/internal/assigner/assignment.go
@@ -131,6 +131,13 @@
 	return New(a.Number+1, holders, wide, config)
 }
 
+// withNumber returns the assignment with another number.
+func (a *Assignment) withNumber(number uint64) *Assignment {
+	next := *a
+	next.Number = number
+	return &next
+}
+
 // Decode decodes a share assignment and checks its holders.
 func Decode(b []byte) (*Assignment, error) {
 	r := &Assignment{}
--- a/internal/limiter/fleet_test.go
+++ b/internal/limiter/fleet_test.go
@@ -45,6 +45,8 @@
 	detectAfter time.Duration
 	wide        []string
 	config      uint64
+	// highestNumber is the highest number of a share assignment so far.
+	highestNumber uint64
 }
 
 type rateLimit struct {
@@ -229,12 +231,17 @@
 	}
 }
 
+// storedNumber returns the highest number that the store ever had, as heartbeats
+// do: a restored store may have a lower one.
 func (f *fleet) storedNumber() uint64 {
 	number, err := assigner.Number(context.Background(), f.store.Client())
 	if err != nil {
 		f.t.Error(err)
 	}
-	return number
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.highestNumber = max(f.highestNumber, number)
+	return f.highestNumber
 }
 
 func (n *node) stamp() (uint64, time.Duration, bool) {
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -125,6 +125,13 @@
 	})
 }
 
+// NoteEra records an era of the store, which rises each time that the store is
+// restored from an older copy. It does not block.
+func (l *Limiter) NoteEra(era uint64) {
+	l.setup()
+	l.assigner.NoteEra(era)
+}
+
 func (l *Limiter) now() time.Time {
 	if l.Now != nil {
 		return l.Now()
