recorder: keyed calls run once although the store was restored from an older copy

What callers saw: a repeat with the same idempotency key ran again, 127 to 134 of 200 calls, once the store had come back from a copy of before its shard changed hands.

Cause: the owner of a shard took the older head for that of a later owner and gave the shard up with its records in memory; the next one loaded what the copy has. A missing head counted as a shard that never had an owner, and needed no votes.

Now a head of a lower term, and one of the same term in another era, shows that the store was restored. Heads hold the era in which an owner last knew all records to be in the store. A new owner that finds an earlier era, or no head in a store that was restored before, needs a majority and refuses calls until all records of before the restoration have expired, counted from when its process first heard of the era. A node that gave a shard up claims it again.

Restored stores with a first era other than 1 refuse keyed calls of new shards for the lifetime of a key; that is the price of not knowing their past.

--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -78,6 +78,7 @@
 func (c components) noteEra(era uint64) {
 	c.MemberRecorder.NoteEra(era)
 	c.Quarantiner.NoteEra(era)
+	c.IdempotencyRecorder.NoteEra(era)
 	if !c.Settings.PrefersAvailability() {
 		c.Limiter.NoteEra(era)
 	}
--- a/internal/recorder/cluster_test.go
+++ b/internal/recorder/cluster_test.go
@@ -50,13 +50,15 @@
 	lastRunID  uint64
 	queries    int
 	configure  func(*Recorder)
+	// era is that of the store.
+	era uint64
 }
 
 func newCluster(seed uint64, names ...string) *cluster {
 	return &cluster{
 		rnd: rand.New(rand.NewPCG(seed, 1)), store: faker.NewStore(), names: names,
 		processes: map[string]*process{}, blocked: map[[2]string]bool{}, executions: map[string][]execution{},
-		configure: func(*Recorder) {},
+		configure: func(*Recorder) {}, era: 1,
 	}
 }
 
@@ -99,7 +101,9 @@
 	}
 	cl.mu.Lock()
 	cl.processes[name] = p
+	era := cl.era
 	cl.mu.Unlock()
+	p.NoteEra(era) // as heartbeats tell it
 	go func() { _ = p.Run(ctx) }()
 }
 
@@ -222,6 +226,7 @@
 		return ctx.Err()
 	}
 	return &storer.Store{
+		Eras: c.Eras,
 		Get: func(ctx context.Context, key string) (storer.Entry, error) {
 			if err := send(ctx); err != nil {
 				return storer.Entry{}, err
--- a/internal/recorder/commit.go
+++ b/internal/recorder/commit.go
@@ -156,7 +156,12 @@
 	s.committedAt, s.urgent = now, false
 	b := &batch{version: s.version}
 	s.commitNumber++
-	b.head = head{Owner: s.recorder.Node, Epoch: s.epoch, StoredOutage: s.storedOutage, CommitNumber: s.commitNumber}
+	if !now.Before(s.blockedUntil) {
+		if s.completeEra = storer.EraOf(s.version); s.version == 0 {
+			s.completeEra = s.recorder.era()
+		}
+	}
+	b.head = head{Owner: s.recorder.Node, Epoch: s.epoch, StoredOutage: s.storedOutage, CommitNumber: s.commitNumber, Era: s.completeEra}
 	if !now.Before(s.blockedUntil) && s.memoryUntil.IsZero() {
 		b.head.StoredOutage = s.outage // this batch stores all calls of the outage that have not expired
 	}
@@ -239,11 +244,13 @@
 // another write; storeAnswered is false if the store does not respond.
 func (s *shard) resolveFailedWrite(ctx context.Context, b *batch) (retry, storeAnswered bool) {
 	h, version, err := s.readHead(ctx)
-	if err == nil && h.Epoch == b.head.Epoch && h.CommitNumber == b.head.CommitNumber {
+	restored := err == nil && s.isFromOlderCopy(&h, version)
+	if err == nil && !restored && h.Epoch == b.head.Epoch && h.CommitNumber == b.head.CommitNumber {
 		b.version = version
 		s.batchWritten(b) // only the reply was lost
 		return false, true
 	}
+	confirmed := restored && s.confirmOwnership(ctx, b.head.Epoch)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.role != roleOwner || s.epoch != b.head.Epoch {
@@ -251,9 +258,12 @@
 	}
 	s.restoreBatch(b)
 	switch {
-	case err != nil:
+	case err != nil, restored && !confirmed:
 		s.storeFailedAt, s.awaitsVotes = time.Now(), true
 		return false, false
+	case restored:
+		s.storeAllAgain(version)
+		return true, true
 	case h.Epoch == s.epoch, s.previous != OwnershipEpoch{} && h.Epoch == s.previous:
 		s.version = version
 		return true, true
@@ -263,6 +273,45 @@
 	return false, true
 }
 
+// isFromOlderCopy reports whether a head is from before this node's ownership, or
+// of it but from an older copy of the store.
+func (s *shard) isFromOlderCopy(h *head, version uint64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if h.Epoch == s.epoch || s.previous != (OwnershipEpoch{}) && h.Epoch == s.previous {
+		return s.version != 0 && storer.EraOf(version) != storer.EraOf(s.version)
+	}
+	return h.Epoch.Term < s.epoch.Term
+}
+
+// confirmOwnership reports whether a majority of the members know of no later
+// owner, whose head the restored store may have lost. If the majority does not know
+// of this owner, it gives the shard up.
+func (s *shard) confirmOwnership(ctx context.Context, epoch OwnershipEpoch) bool {
+	res := s.requestVotes(ctx, &VoteRequest{Shard: s.number, Purpose: purposeConfirm, Owner: s.recorder.Node, Epoch: epoch})
+	if res.majority && res.maxTerm <= epoch.Term {
+		return true
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if res.answered && s.role == roleOwner && s.epoch == epoch {
+		s.trace("shard-lost", fmt.Sprintf("%s: not confirmed after a restoration, the highest term is %d", s.storePrefix(), res.maxTerm))
+		s.dropOwnership()
+	}
+	return false
+}
+
+// storeAllAgain has all records written anew over the head with a version. The
+// caller holds the lock.
+func (s *shard) storeAllAgain(version uint64) {
+	s.trace("shard-restored", fmt.Sprintf("%s: %d records are written again", s.storePrefix(), len(s.records)))
+	s.version, s.segments, s.headRecords = version, nil, map[keyDigest]*record{}
+	for k, rec := range s.records {
+		s.dirty[k] = rec
+	}
+	s.urgent = true
+}
+
 // restoreBatch marks the records of a failed batch dirty again. The caller
 // holds the lock.
 func (s *shard) restoreBatch(b *batch) {
--- a/internal/recorder/message.go
+++ b/internal/recorder/message.go
@@ -115,6 +115,9 @@
 	// purposeServeFromMemory: the owner wants to serve from memory, as the
 	// store does not respond.
 	purposeServeFromMemory
+	// purposeConfirm: the owner wants to serve on, as the store was restored from
+	// an older copy, which no longer shows its ownership.
+	purposeConfirm
 )
 
 // VoteRequest asks a node to vote for the owner of a shard.
@@ -192,6 +195,10 @@
 	CommitNumber uint64
 	// Records are those written since the last segment.
 	Records []storedRecord
+	// Era is that of the store in which the owner last knew all records to be in
+	// the store, or 0 if a process of an earlier version wrote the head. In a later
+	// era some may be lost.
+	Era uint64
 }
 
 // storedRecord is the stored form of a record.
--- a/internal/recorder/ownership.go
+++ b/internal/recorder/ownership.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"strings"
 	"time"
@@ -66,13 +67,14 @@
 
 // acquireIfFirst makes this node the owner before any call arrives if it is the
 // first candidate and no live owner is known, so that every shard has an owner
-// when an outage begins.
+// when an outage begins. A node that gave the shard up, and that the others take
+// for its owner, does so too.
 func (s *shard) acquireIfFirst(ctx context.Context) {
 	nodes := s.recorder.Nodes()
 	s.mu.Lock()
 	known := s.likelyOwner()
 	s.mu.Unlock()
-	if !s.isFirst(nodes) || (known != s.recorder.Node && slices.Contains(nodes, known)) {
+	if known != s.recorder.Node && (!s.isFirst(nodes) || slices.Contains(nodes, known)) {
 		return
 	}
 	s.ensureOwner(ctx)
@@ -117,7 +119,11 @@
 	if node := s.liveOwner(ctx, &h); node != "" {
 		return &Reply{Status: NotOwner, Owner: node}
 	}
-	before := h
+	before, lost := h, s.recorder.mayHaveLost(&h, version)
+	before.Released = before.Released && !lost
+	if h.Era = max(h.Era, firstEra); !lost {
+		h.Era = s.recorder.era()
+	}
 	h.Owner, h.Released, h.CommitNumber = s.recorder.Node, false, 0
 	h.Epoch = OwnershipEpoch{Term: max(h.Epoch.Term, s.highestKnownTerm()) + 1, Nonce: s.recorder.Rand()}
 	if version, err = s.swapHead(ctx, &h, version); err != nil {
@@ -130,26 +136,65 @@
 		}
 		version = currentVersion
 	}
-	records, segments, err := s.loadRecords(ctx, &h)
+	records, segments, err := s.loadRecords(ctx, &h, version)
 	if err != nil {
 		return unavailable
 	}
-	res := s.requestVotes(ctx, &VoteRequest{Shard: s.number, Purpose: purposeAcquire, Owner: h.Owner, Epoch: h.Epoch, Previous: before.Epoch})
+	previous := before.Epoch
+	if lost {
+		previous.Term = max(previous.Term, 1) // there were owners before
+	}
+	res := s.requestVotes(ctx, &VoteRequest{Shard: s.number, Purpose: purposeAcquire, Owner: h.Owner, Epoch: h.Epoch, Previous: previous})
 	s.observeTerm(res.maxTerm)
-	if !res.majority && !before.Released && before.Epoch.Term != 0 {
+	if !res.majority && !before.Released && previous.Term != 0 {
 		return unavailable
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.becomeOwner(h, version, records, segments, res)
+	if lost {
+		s.blockForLostRecords()
+	}
 	return nil
 }
 
+// firstEra is the era of a store that was never restored.
+const firstEra = 1
+
+// era returns the highest known era of the store, or 0 if it does not tell it.
+func (r *Recorder) era() uint64 {
+	if r.Store.Eras == nil {
+		return 0
+	}
+	return r.Store.Eras.Current()
+}
+
+// mayHaveLost reports whether the store may have lost records of a shard: it was
+// restored from an older copy, and its head, if there is one, is from before.
+func (r *Recorder) mayHaveLost(h *head, version uint64) bool {
+	if version == 0 {
+		return r.era() > firstEra
+	}
+	return h.Era != 0 && h.Era < storer.EraOf(version)
+}
+
+// blockForLostRecords refuses calls until all records have expired that a restored
+// store may have lost: they are from before this process knew its era. The caller
+// holds the lock.
+func (s *shard) blockForLostRecords() {
+	s.trace("shard-incomplete", fmt.Sprintf("%s was last complete in era %d", s.storePrefix(), s.completeEra))
+	until := s.recorder.eraKnownSince(s.recorder.era()).Add(s.recorder.retention())
+	if until.After(s.blockedUntil) {
+		s.blockedUntil = until
+	}
+}
+
 // becomeOwner installs the loaded state and makes this node the owner. The
 // caller holds the lock.
 func (s *shard) becomeOwner(h head, version uint64, records map[keyDigest]*record, segments []segment, res voteResult) {
 	now := time.Now()
 	s.role, s.epoch, s.version, s.previous = roleOwner, h.Epoch, version, OwnershipEpoch{}
+	s.completeEra = h.Era
 	s.commitNumber, s.segmentNumber = 0, 0
 	s.records, s.segments, s.answerBytes = records, segments, 0
 	s.dirty, s.headRecords = map[keyDigest]*record{}, map[keyDigest]*record{}
@@ -214,15 +259,21 @@
 	s.voter.highestSeenTerm = max(s.voter.highestSeenTerm, term)
 }
 
+// errHeadChanged means that a list has another head than the one just written.
+var errHeadChanged = errors.New("recorder: the head changed while the records were read")
+
 // loadRecords reads the records of a shard whose previous owner this node has
-// just fenced.
-func (s *shard) loadRecords(ctx context.Context, h *head) (map[keyDigest]*record, []segment, error) {
+// just fenced by the head with a version.
+func (s *shard) loadRecords(ctx context.Context, h *head, version uint64) (map[keyDigest]*record, []segment, error) {
 	ctx, stop := context.WithTimeout(ctx, 2*storeTimeout)
 	defer stop()
 	list, err := s.recorder.Store.List(ctx, s.storePrefix())
 	if err != nil {
 		return nil, nil, err
 	}
+	if !slices.ContainsFunc(list, func(e storer.Entry) bool { return e.Key == s.headKey() && e.Version == version }) {
+		return nil, nil, errHeadChanged
+	}
 	now := time.Now()
 	records := map[keyDigest]*record{}
 	var segments []segment
--- a/internal/recorder/recorder_test.go
+++ b/internal/recorder/recorder_test.go
@@ -30,7 +30,7 @@
 var faultSteps = []string{
 	"call", "call", "call", "call", "call", "call", "call", "call", "call", "call", "call", "call",
 	"kill", "start", "start", "restart", "stop", "pause", "resume", "block", "block one way", "heal",
-	"cut store", "store down", "store down", "store up", "lose replies", "loss", "no loss", "wait", "wait", "wait long",
+	"cut store", "store down", "store down", "store up", "lose replies", "loss", "no loss", "wait", "wait", "wait long", "restore store",
 }
 
 func checkAtMostOnce(r *rapid.T, seed uint64, steps []string) {
@@ -132,6 +132,8 @@
 		cl.store.SetFaults(faker.StoreFaults{})
 	case "lose replies":
 		cl.store.SetFaults(faker.StoreFaults{LoseReplies: true})
+	case "restore store":
+		cl.restoreStore(time.Now().Add(-cl.randomDelay(20 * time.Second)))
 	case "loss":
 		cl.setLoss(0.2)
 	case "no loss":
--- a/internal/recorder/shard.go
+++ b/internal/recorder/shard.go
@@ -49,7 +49,9 @@
 	// previous is the epoch that a handed-over shard was taken from; the store
 	// may still show it. Zero if the shard was acquired in the store.
 	previous OwnershipEpoch
-	version  uint64
+	// version is that of the head in the store, and completeEra the store's era in
+	// which all records were last known to be in the store.
+	version, completeEra uint64
 	// commitNumber and segmentNumber count the commits and segments of the
 	// epoch.
 	commitNumber, segmentNumber uint64
--- a/internal/recorder/voter.go
+++ b/internal/recorder/voter.go
@@ -47,6 +47,9 @@
 		if v.Granted {
 			known.outage, known.outageAt = max(known.outage, req.Outage), now
 		}
+	case purposeConfirm:
+		v.Granted = req.Epoch == known.epoch
+		v.Counted = v.Granted
 	case purposeAcquire:
 		v.Granted = notSuperseded
 		v.Counted = notSuperseded && s.knowsOutages(req, uptime)
@@ -77,8 +80,8 @@
 // voteResult sums up the members' votes.
 type voteResult struct {
 	// majority reports that more than half of the members granted a vote that
-	// counts.
-	majority bool
+	// counts, answered that more than half answered.
+	majority, answered bool
 	// maxTerm is the highest term received, outage the last outage and
 	// outageAgo the shortest time since one.
 	maxTerm, outage uint64
@@ -98,12 +101,14 @@
 		requests.Wait()
 		stop()
 	}()
-	res, counted := voteResult{outageAgo: s.recorder.memoryRetention()}, 0
+	res, counted, answers := voteResult{outageAgo: s.recorder.memoryRetention()}, 0, 0
 	for range members {
 		v := <-votes
 		if v == nil {
 			continue
 		}
+		answers++
+		res.answered = answers > len(members)/2
 		res.maxTerm, res.outage = max(res.maxTerm, v.Term), max(res.outage, v.Outage)
 		if v.Outage > 0 {
 			res.outageAgo = min(res.outageAgo, v.OutageAgo)
--- a/internal/storer/era.go
+++ b/internal/storer/era.go
@@ -63,6 +63,12 @@
 	return era<<revisionBits | revision
 }
 
+// EraOf returns the era in a Version, or 0 for version 0.
+func EraOf(version uint64) uint64 {
+	era, _ := splitVersion(version)
+	return era
+}
+
 // Revision returns the store's revision in a Version.
 func Revision(version uint64) uint64 {
 	_, revision := splitVersion(version)
