prober, recorder: the era does not change the shape of packets and heads

What would be seen: while a fleet is upgraded from the build before, processes of the two builds reject each other's heartbeats, and old ones cannot load the heads of shards that new ones wrote.

The era now goes in a field that was there (Extra, until now the digests of one kind of packet) and in the upper bits of the commit's number.

--- a/internal/prober/packet.go
+++ b/internal/prober/packet.go
@@ -78,8 +78,8 @@
 	Reached bool
 	// Digest is the digest of the sender's member list.
 	Digest uint64
-	// Numbers holds the highest numbers of the first kinds that the sender knows,
-	// by Kind. Era has that of EraNumber.
+	// Numbers holds the highest numbers of the stamped kinds that the sender knows,
+	// by Kind.
 	Numbers [stampedKinds]uint64
 	// Stamp is the sender's newest stamp, in a censusReply the newest from the
 	// store if there is one. It is nil in a censusRequest and while the sender
@@ -87,20 +87,28 @@
 	Stamp *Stamp
 	// Updates holds encoded updates.
 	Updates []msgpack.RawMessage
-	// Buckets holds the digests of the sender's member list in a bucketRequest.
-	Buckets []uint64
-	// Era is the highest era of the store that the sender knows. Buckets and Era
-	// are the last fields: processes of an earlier version ignore them.
-	Era uint64
+	// Extra holds further numbers, whose meaning depends on Kind: in a bucketRequest
+	// the digests of the sender's member list, else the era of the store if it is
+	// known. The number of fields is fixed, as processes of other versions reject
+	// packets with more or fewer.
+	Extra []uint64
 }
 
+// setNumbers sets the numbers that the sender knows.
 func (q *packet) setNumbers(n Numbers) {
 	copy(q.Numbers[:], n[:])
-	q.Era = n[EraNumber]
+	if era := n[EraNumber]; era != 0 && q.Kind != bucketRequest {
+		q.Extra = []uint64{era}
+	}
 }
 
+// numbers returns the numbers that the sender knows.
 func (q *packet) numbers() Numbers {
-	return Numbers{ConfigNumber: q.Numbers[ConfigNumber], SharesNumber: q.Numbers[SharesNumber], EraNumber: q.Era}
+	n := Numbers{ConfigNumber: q.Numbers[ConfigNumber], SharesNumber: q.Numbers[SharesNumber]}
+	if q.Kind != bucketRequest && len(q.Extra) > 0 {
+		n[EraNumber] = q.Extra[0]
+	}
+	return n
 }
 
 // update is a gossip update about one member. It overrides what is known of the
--- a/internal/prober/sync.go
+++ b/internal/prober/sync.go
@@ -76,7 +76,7 @@
 func (p *Prober) requestBuckets(e *memberEntry) {
 	digests := p.digestsWithSelf()
 	own := p.selfUpdate()
-	p.sendWithUpdates(e, &packet{Kind: bucketRequest, Buckets: digests[:], Updates: []msgpack.RawMessage{messenger.Encode(&own)}})
+	p.sendWithUpdates(e, &packet{Kind: bucketRequest, Extra: digests[:], Updates: []msgpack.RawMessage{messenger.Encode(&own)}})
 }
 
 // digestsWithSelf returns the digests of the buckets, including this node.
@@ -90,13 +90,13 @@
 // as far as they fit the datagrams allowed. The order is random, so that further
 // requests get to the rest.
 func (p *Prober) answerBuckets(q *packet, e *memberEntry) {
-	if len(q.Buckets) != digestBuckets {
+	if len(q.Extra) != digestBuckets {
 		return
 	}
 	own := p.digestsWithSelf()
 	var differing []Member
 	for _, m := range p.memberList().members {
-		if i := bucketOf(m.Name); own[i] != q.Buckets[i] {
+		if i := bucketOf(m.Name); own[i] != q.Extra[i] {
 			differing = append(differing, m)
 		}
 	}
--- a/internal/recorder/commit.go
+++ b/internal/recorder/commit.go
@@ -161,7 +161,8 @@
 			s.completeEra = s.recorder.era()
 		}
 	}
-	b.head = head{Owner: s.recorder.Node, Epoch: s.epoch, StoredOutage: s.storedOutage, CommitNumber: s.commitNumber, Era: s.completeEra}
+	b.head = head{Owner: s.recorder.Node, Epoch: s.epoch, StoredOutage: s.storedOutage}
+	b.head.setCommit(s.commitNumber, s.completeEra)
 	if !now.Before(s.blockedUntil) && s.memoryUntil.IsZero() {
 		b.head.StoredOutage = s.outage // this batch stores all calls of the outage that have not expired
 	}
--- a/internal/recorder/message.go
+++ b/internal/recorder/message.go
@@ -191,16 +191,27 @@
 	// StoredOutage is the last outage whose calls are all in the store.
 	StoredOutage uint64
 	// CommitNumber numbers the commits of an epoch, so that a commit whose
-	// reply was lost can be recognised.
+	// reply was lost can be recognised. Its upper bits hold the era: processes of
+	// other versions reject a head with more fields.
 	CommitNumber uint64
 	// Records are those written since the last segment.
 	Records []storedRecord
-	// Era is that of the store in which the owner last knew all records to be in
-	// the store, or 0 if a process of an earlier version wrote the head. In a later
-	// era some may be lost.
-	Era uint64
 }
 
+// Parts of head.CommitNumber.
+const (
+	headEraShift = 44
+	maxCommit    = 1<<headEraShift - 1
+)
+
+// era returns the era of the store in which the owner last knew all records to be
+// in the store, or 0 if a process of an earlier version wrote the head. In a later
+// era some may be lost.
+func (h *head) era() uint64 { return h.CommitNumber >> headEraShift }
+
+// setCommit sets the number of the commit and the era.
+func (h *head) setCommit(number, era uint64) { h.CommitNumber = era<<headEraShift | number&maxCommit }
+
 // storedRecord is the stored form of a record.
 type storedRecord struct {
 	_msgpack struct{} `msgpack:",as_array"`
--- a/internal/recorder/ownership.go
+++ b/internal/recorder/ownership.go
@@ -121,10 +121,12 @@
 	}
 	before, lost := h, s.recorder.mayHaveLost(&h, version)
 	before.Released = before.Released && !lost
-	if h.Era = max(h.Era, firstEra); !lost {
-		h.Era = s.recorder.era()
+	completeEra := max(h.era(), firstEra)
+	if !lost {
+		completeEra = s.recorder.era()
 	}
-	h.Owner, h.Released, h.CommitNumber = s.recorder.Node, false, 0
+	h.Owner, h.Released = s.recorder.Node, false
+	h.setCommit(0, completeEra)
 	h.Epoch = OwnershipEpoch{Term: max(h.Epoch.Term, s.highestKnownTerm()) + 1, Nonce: s.recorder.Rand()}
 	if version, err = s.swapHead(ctx, &h, version); err != nil {
 		if errors.Is(err, storer.ErrConflict) {
@@ -175,7 +177,7 @@
 	if version == 0 {
 		return r.era() > firstEra
 	}
-	return h.Era != 0 && h.Era < storer.EraOf(version)
+	return h.era() != 0 && h.era() < storer.EraOf(version)
 }
 
 // blockForLostRecords refuses calls until all records have expired that a restored
@@ -194,7 +196,7 @@
 func (s *shard) becomeOwner(h head, version uint64, records map[keyDigest]*record, segments []segment, res voteResult) {
 	now := time.Now()
 	s.role, s.epoch, s.version, s.previous = roleOwner, h.Epoch, version, OwnershipEpoch{}
-	s.completeEra = h.Era
+	s.completeEra = h.era()
 	s.commitNumber, s.segmentNumber = 0, 0
 	s.records, s.segments, s.answerBytes = records, segments, 0
 	s.dirty, s.headRecords = map[keyDigest]*record{}, map[keyDigest]*record{}
--- a/internal/recorder/restored_test.go
+++ b/internal/recorder/restored_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/zinniaproxy/zinniaproxy/internal/messenger"
 )
 
 // restoreStore restores the store, and tells the running nodes as heartbeats do.
@@ -91,3 +93,17 @@
 	cl.close()
 	qt.Check(t, len(cl.violations), qt.Equals, 0)
 }
+
+// Guards against shards that no owner can load while a fleet is upgraded: processes
+// reject heads with another number of fields than theirs.
+func TestHeadsHaveAFixedNumberOfFields(t *testing.T) {
+	const fixArray6 = 0x96
+	h := head{Owner: "a"}
+	h.setCommit(7, 3)
+	encoded := messenger.Encode(&h)
+	qt.Check(t, encoded[0], qt.Equals, byte(fixArray6))
+	var decoded head
+	qt.Assert(t, messenger.Decode(encoded, &decoded), qt.IsNil)
+	qt.Check(t, decoded.era(), qt.Equals, uint64(3))
+	qt.Check(t, decoded.CommitNumber&maxCommit, qt.Equals, uint64(7))
+}
