messenger: a few bytes cannot make a process allocate what they announce

What would be seen: one odd entry among the quarantines in the store (five bytes that announce an array of four billion elements) ended each process that read it, at its start, again and again, out of memory.

Cause: the msgpack decoder makes a slice of the announced length before it reads an element. Messages and stored values are now scanned first: each array, map, string and extension must fit in what follows, and nesting is at most 64 deep. A report more than a minute in the future is dropped, which would otherwise keep a request in quarantine for good.

--- a/internal/messenger/call.go
+++ b/internal/messenger/call.go
@@ -128,8 +128,3 @@
 	}
 	return b.Bytes()
 }
-
-// Decode decodes a message received from a peer into m.
-func Decode(b []byte, m any) error {
-	return msgpack.Unmarshal(b, m)
-}
--- a/internal/quarantiner/spread.go
+++ b/internal/quarantiner/spread.go
@@ -8,8 +8,6 @@
 	"sync"
 	"time"
 
-	"github.com/vmihailenco/msgpack/v5"
-
 	"github.com/zinniaproxy/zinniaproxy/internal/messenger"
 	"github.com/zinniaproxy/zinniaproxy/internal/sampler"
 	"github.com/zinniaproxy/zinniaproxy/internal/storer"
@@ -44,6 +42,9 @@
 	// keepers is how many nodes write a quarantine to the store again after the
 	// store was restored.
 	keepers = 3
+	// maxClockError bounds how far in the future a report may be, by the clock of
+	// the node that made it.
+	maxClockError = time.Minute
 	// KeyPrefix is the prefix of the store's keys.
 	KeyPrefix = "quarantine/"
 )
@@ -284,10 +285,12 @@
 	}
 	stored := make([][]Report, len(entries))
 	for i, e := range entries {
-		if err := msgpack.Unmarshal(e.Value, &stored[i]); err != nil {
+		if err := messenger.Decode(e.Value, &stored[i]); err != nil {
 			q.Log.Error(err, "quarantine in the store cannot be read", "key", e.Key)
+			stored[i] = nil
 			continue
 		}
+		stored[i] = slices.DeleteFunc(stored[i], func(r Report) bool { return time.Until(time.UnixMilli(r.Time)) > maxClockError })
 		q.merge(stored[i], false)
 	}
 	q.mu.Lock()
