prober: odd records of nodes are ignored

What happened here: a record with a name of 5,000 bytes became a member that no update fits in a datagram for, so that it stayed alive for good in all lists, and heartbeats of 5 KB were sent; a record of a host name would have been looked up by the loop that sends all heartbeats. Announcements with a port out of range, numbers too large or 15,000 levels of nesting were refused already; nine quintillion slots were not.

A record must now be under the key of its own name, fit in half of a datagram's updates and have a link with a port of 1 to 65535; sockets send to IPs only; a target has at most 65,536 slots.

--- a/internal/prober/recorder.go
+++ b/internal/prober/recorder.go
@@ -3,7 +3,10 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
+	"net"
+	"strconv"
 	"sync"
 	"time"
 
@@ -166,15 +169,42 @@
 	}
 	nodes := make([]messenger.Node, 0, len(entries))
 	for _, e := range entries {
-		var n messenger.Node
-		if messenger.Decode(e.Value, &n) == nil {
-			nodes = append(nodes, n)
+		n, err := parseRecord(e)
+		if err != nil {
+			r.Log.Info("node record ignored", "key", e.Key, "error", err.Error())
+			continue
 		}
+		nodes = append(nodes, n)
 	}
 	r.Prober.SetRecorded(nodes)
 	return nil
 }
 
+// maxRecordBytes bounds a record, which every node sends on in one datagram.
+const maxRecordBytes = maxUpdateBytes / 2
+
+// parseRecord parses and checks a node record, which another writer may have
+// left. Only a node itself has a record under its name.
+func parseRecord(e storer.Entry) (n messenger.Node, err error) {
+	if len(e.Value) > maxRecordBytes {
+		return n, fmt.Errorf("prober: record has %d bytes, more than %d", len(e.Value), maxRecordBytes)
+	}
+	if err := messenger.Decode(e.Value, &n); err != nil {
+		return n, fmt.Errorf("prober: record is not valid: %w", err)
+	}
+	if n.Name == "" || e.Key != NodePrefix+n.Name {
+		return n, fmt.Errorf("prober: record is of node %q", n.Name)
+	}
+	_, port, err := net.SplitHostPort(n.Link)
+	if err != nil {
+		return n, fmt.Errorf("prober: link of a record: %w", err)
+	}
+	if number, err := strconv.ParseUint(port, 10, 16); err != nil || number == 0 {
+		return n, fmt.Errorf("prober: port of link %q is not 1 to 65535", n.Link)
+	}
+	return n, nil
+}
+
 // write renews the lease and writes the record, unless the store has the version
 // that this process wrote. The first write expects no record, since most
 // processes have none; it costs a call more after a restart.
--- a/internal/prober/socket.go
+++ b/internal/prober/socket.go
@@ -1,6 +1,9 @@
 package prober
 
-import "net"
+import (
+	"net"
+	"net/netip"
+)
 
 // Socket sends and receives datagrams. Its fields are functions so that tests can
 // put a fake network in their place.
@@ -21,11 +24,12 @@
 	}
 	return &Socket{
 		Send: func(to string, b []byte) error {
-			a, err := net.ResolveUDPAddr("udp", to)
+			// Looking a host name up would stop all heartbeats meanwhile.
+			a, err := netip.ParseAddrPort(to)
 			if err != nil {
 				return err
 			}
-			_, err = c.WriteTo(b, a)
+			_, err = c.WriteTo(b, net.UDPAddrFromAddrPort(a))
 			return err
 		},
 		Receive: func(b []byte) (int, error) {
--- a/internal/targetregistrar/targetregistrar.go
+++ b/internal/targetregistrar/targetregistrar.go
@@ -24,6 +24,8 @@
 	MaxTTL = time.Minute
 	// MaxTargets bounds the targets of one node.
 	MaxTargets = 256
+	// maxSlots bounds the slots of a target.
+	maxSlots = 65_536
 	// maxWithdrawals bounds the withdrawn instances that are remembered. It
 	// allows for four restarts of each target within MaxTTL.
 	maxWithdrawals = 4 * MaxTargets
@@ -209,8 +211,8 @@
 	if a.TTL < MinTTL || a.TTL > MaxTTL {
 		return nil, coder.New(coder.BadAnnouncement, "ttl %v is not %v to %v", a.TTL, MinTTL, MaxTTL)
 	}
-	if a.Slots < 0 {
-		return nil, coder.New(coder.BadAnnouncement, "slots %d is negative", a.Slots)
+	if a.Slots < 0 || a.Slots > maxSlots {
+		return nil, coder.New(coder.BadAnnouncement, "slots %d is not 0 to %d", a.Slots, maxSlots)
 	}
 	s := r.Service(a.Service)
 	if s == nil && a.Service != r.ExpectedService {
