exithandler: a refusal on a used connection counts for the request that it names only

Report of other operators: a faulty upstream wrote an earlier refusal once more on a kept connection, and clients were told 'not run' of requests that ran.

What happened here: calls that may not be repeated always get a connection of their own, so that REFUSED and TWICE cannot follow for them. An idempotent call was told 'not run' though it ran: without names in responses by the copy of any earlier refusal, with names by that of its own earlier try at the same target.

--- a/internal/exithandler/sender.go
+++ b/internal/exithandler/sender.go
@@ -59,6 +59,7 @@
 
 	setupOnce        sync.Once
 	pooled, unpooled *http.Transport
+	refused          refusals
 }
 
 // initTransports creates the transports. Each non-idempotent call gets a new
@@ -98,7 +99,7 @@
 	s.setupOnce.Do(s.initTransports)
 	g := &guard{check: j.CheckBeforeSend}
 	start := time.Now()
-	res, err := s.roundTrip(ctx, j, g)
+	res, reused, err := s.roundTrip(ctx, j, g)
 	j.Outcome.Latency = time.Since(start)
 	if e := (*coder.Error)(nil); errors.As(err, &e) {
 		return e
@@ -107,31 +108,34 @@
 		return s.classifyNoResponse(ctx, j, g, err)
 	}
 	defer res.Body.Close()
-	return s.relay(ctx, j, res, start)
+	return s.relay(ctx, j, res, reused, start)
 }
 
-// roundTrip sends the call and returns the head of the response. An idempotent call
-// that breaks off on a connection which was idle before is sent once more, on a new
-// one: the target may have closed the idle one before it read the call. A
-// *coder.Error means that the call is not a valid request.
-func (s *Sender) roundTrip(ctx context.Context, j *Job, g *guard) (*http.Response, error) {
-	if j.Call.Once || resentByTransport(j.Call) {
-		return s.roundTripOn(withGuard(ctx, g), j, s.unpooled)
+// roundTrip sends the call and returns the head of the response, and whether its
+// connection was used before. An idempotent call that breaks off on a connection
+// which was idle before is sent once more, on a new one: the target may have closed
+// the idle one before it read the call. A *coder.Error means that the call is not a
+// valid request.
+func (s *Sender) roundTrip(ctx context.Context, j *Job, g *guard) (res *http.Response, reused bool, err error) {
+	if j.Call.Once || resentByTransport(j.Call) || s.refused.has(j.Call.Request) {
+		res, err = s.roundTripOn(withGuard(ctx, g), j, s.unpooled)
+		return res, false, err
 	}
 	var conn httptrace.GotConnInfo
 	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		g.sent.Store(true)
 		conn = info
 	}})
-	res, err := s.roundTripOn(traced, j, s.pooled)
+	res, err = s.roundTripOn(traced, j, s.pooled)
 	if err == nil || !conn.Reused || ctx.Err() != nil {
-		return res, err
+		return res, conn.Reused, err
 	}
 	s.pooled.CloseIdleConnections() // the process at their other end may be gone
 	if conn.IdleTime < minIdleTime {
-		return nil, err
+		return nil, true, err
 	}
-	return s.roundTripOn(ctx, j, s.unpooled)
+	res, err = s.roundTripOn(ctx, j, s.unpooled)
+	return res, false, err
 }
 
 func (s *Sender) roundTripOn(ctx context.Context, j *Job, transport *http.Transport) (*http.Response, error) {
@@ -230,15 +234,20 @@
 	return method == http.MethodGet || method == http.MethodHead || method == http.MethodOptions
 }
 
-// relay validates the response to a call sent at a time and passes it to
-// j.Response, or returns a refusal.
-func (s *Sender) relay(ctx context.Context, j *Job, res *http.Response, sent time.Time) error {
-	if !s.matchesRequest(j, res.Header.Get(s.Dialect.RequestIDHeader)) {
+// relay validates the response to a call sent at a time, on a connection that was
+// used before or not, and passes it to j.Response, or returns a refusal.
+func (s *Sender) relay(ctx context.Context, j *Job, res *http.Response, reused bool, sent time.Time) error {
+	echoedID := res.Header.Get(s.Dialect.RequestIDHeader)
+	if !s.matchesRequest(j, echoedID) {
 		return s.classifyInterrupted(ctx, j, errors.New("response names another request"))
 	}
 	statement := s.observeStatement(j, res, sent)
 	if s.Dialect.NotRun(res.StatusCode, res.Header) {
 		j.Outcome.Result = Shed
+		if reused && echoedID == "" {
+			return coder.New(coder.Cut, "%s: refusal on a used connection names no request", j.Target.Name)
+		}
+		s.refused.add(j.Call.Request)
 		return coder.New(coder.Shed, "%s", j.Target.Name).WithAfter(parseRetryAfter(res.Header))
 	}
 	if !s.Dialect.CloseDelimited && !isDelimited(j.Call.Method, res) {
