soak: the store is restored from an older copy in each run

A step besides the others of a seed: the store is away for two seconds at most and comes back from a copy of 0.3 to 7.3 s before. If the fleet does not write its configuration again within three seconds, nobody had it, and the operator does.

--- a/internal/soaker/fleet.go
+++ b/internal/soaker/fleet.go
@@ -52,6 +52,11 @@
 	// changeTimeout is longer than any step that makes the store unavailable.
 	changeTimeout       = 20 * time.Second
 	changeRetryInterval = 500 * time.Millisecond
+	// maxRestoreOutage bounds how long the store is away before it is restored, and
+	// fleetRestoreTime how long the fleet may then take to write its configuration
+	// again.
+	maxRestoreOutage = 2 * time.Second
+	fleetRestoreTime = 3 * time.Second
 	// nodeStopTimeout exceeds the node's own shutdown limit of 30 s, and
 	// targetStopTimeout the 2 s for which a target drains.
 	nodeStopTimeout   = 40 * time.Second
@@ -219,9 +224,48 @@
 	}
 }
 
+// restoreStore takes the store away for maxRestoreOutage at most and brings it back
+// from a copy that was age old before. If the fleet does not write the declaration in
+// force again, nobody had it yet, and the operator does so.
+func (f *fleet) restoreStore(ctx context.Context, age time.Duration) error {
+	s := storer.Dial("http://"+f.storeAddress(), f.client)
+	before, err := configurer.StoredHead(ctx, s)
+	if err != nil {
+		return nil // another fault makes the store unavailable
+	}
+	base := "http://" + f.storeAddress()
+	copied := time.Now().Add(-age)
+	err = runThenUndo(ctx, min(age, maxRestoreOutage), func() error { return f.putFaults(ctx, base+"/v1/faults", `{"down":true}`) }, func() error {
+		body := fmt.Sprintf(`{"copied":%q}`, copied.Format(time.RFC3339Nano))
+		return errors.Join(f.send(ctx, http.MethodPost, base+"/v1/restore", body), f.putFaults(ctx, base+"/v1/faults", `{"down":false}`))
+	})
+	if err != nil {
+		return err
+	}
+	ctx, stop := context.WithTimeout(ctx, changeTimeout)
+	defer stop()
+	for began := time.Now(); ; time.Sleep(changeRetryInterval) {
+		head, err := configurer.StoredHead(ctx, s)
+		if err == nil && head.Number >= before.Number {
+			return nil
+		}
+		if err == nil && time.Since(began) > fleetRestoreTime {
+			n := f.changeCount - 1
+			_, err = configurer.ApplyAbove(ctx, s, head.Number, before.Number, declaration(n), fmt.Sprintf("change %d again", n))
+		}
+		if ctx.Err() != nil {
+			return fmt.Errorf("soaker: configuration %d is not in the restored store: %w", before.Number, errors.Join(err, ctx.Err()))
+		}
+	}
+}
+
 // putFaults sets the faults of a fake target or the fake store, as JSON.
 func (f *fleet) putFaults(ctx context.Context, url, faults string) error {
-	req, err := http.NewRequestWithContext(ctx, http.MethodPut, url, strings.NewReader(faults))
+	return f.send(ctx, http.MethodPut, url, faults)
+}
+
+func (f *fleet) send(ctx context.Context, method, url, body string) error {
+	req, err := http.NewRequestWithContext(ctx, method, url, strings.NewReader(body))
 	if err != nil {
 		return err
 	}
@@ -231,7 +275,7 @@
 	}
 	defer res.Body.Close()
 	if res.StatusCode >= http.StatusBadRequest {
-		return fmt.Errorf("soaker: PUT %s: status %d", url, res.StatusCode)
+		return fmt.Errorf("soaker: %s %s: status %d", method, url, res.StatusCode)
 	}
 	return nil
 }
--- a/internal/soaker/schedule.go
+++ b/internal/soaker/schedule.go
@@ -27,6 +27,7 @@
 	CrashTarget       StepKind = "crash"   // a target is killed and restarts cold
 	FaultyTarget      StepKind = "sick"    // a fault of a target
 	FaultyStore       StepKind = "store"   // a fault of the store
+	RestoreStore      StepKind = "restore" // the store is down, then comes back from an older copy
 	FaultyCallersPath StepKind = "callers" // a fault of the path from callers to a node
 	FaultyStorePath   StepKind = "lookup"  // a fault of the path from a node to the store
 	FaultyTargetPath  StepKind = "target"  // a fault of the path from a node to its target
@@ -63,8 +64,9 @@
 // Parameters holds the seed and the size of a run.
 type Parameters struct {
 	Seed uint64
-	// Nodes and Steps are counts.
-	Nodes, Steps int
+	// Nodes and Steps are counts. Restorations of the store come besides, so that
+	// they change nothing in the other steps of a seed.
+	Nodes, Steps, Restorations int
 	// FaultPeriod is the time within which steps begin. The fleet must have
 	// recovered RecoveryTime after FaultPeriod and maxRandomStepTime have passed.
 	FaultPeriod, RecoveryTime time.Duration
@@ -105,6 +107,13 @@
 			st.PathFault = pathFaults[r.IntN(len(pathFaults))]
 		}
 	}
+	again := rand.New(rand.NewPCG(p.Seed, 2))
+	for range p.Restorations {
+		steps = append(steps, Step{
+			At: time.Duration(again.Float64() * float64(p.FaultPeriod)), Kind: RestoreStore, Node: again.IntN(p.Nodes),
+			Duration: 300*time.Millisecond + time.Duration(again.Float64()*float64(maxRandomStepTime)),
+		})
+	}
 	slices.SortFunc(steps, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
 	return steps
 }
--- a/internal/soaker/soaker.go
+++ b/internal/soaker/soaker.go
@@ -154,8 +154,10 @@
 func (s *Soaker) stepLock(st Step) *sync.Mutex {
 	component := fmt.Sprint("node ", st.Node)
 	switch st.Kind {
-	case FaultyStore, ChangeDeclaration:
+	case FaultyStore:
 		component = string(st.Kind)
+	case ChangeDeclaration, RestoreStore:
+		component = string(ChangeDeclaration)
 	case FaultyTarget, ReplaceTarget, CrashTarget:
 		component = fmt.Sprint("target ", st.Node)
 	case FaultyCallersPath, FaultyStorePath, FaultyTargetPath:
@@ -194,6 +196,8 @@
 	case FaultyTarget:
 		url := fmt.Sprintf("http://%s:%d/v1/fake/faults", v.ip, targetPort)
 		return s.withFaults(ctx, st, url, noTargetFaults)
+	case RestoreStore:
+		return s.fleet.restoreStore(ctx, st.Duration)
 	case FaultyStore:
 		return s.withFaults(ctx, st, "http://"+s.fleet.storeAddress()+"/v1/faults", noStoreFaults)
 	}
