--- a/internal/exithandler/refusal_test.go
+++ b/internal/exithandler/refusal_test.go
@@ -9,9 +9,10 @@
 	"testing"
 	"time"
 
-	qt "github.com/frankban/quicktest"
 	"testing/synctest"
 
+	qt "github.com/frankban/quicktest"
+
 	"github.com/zinniaproxy/zinniaproxy/internal/faker"
 	"github.com/zinniaproxy/zinniaproxy/pkg/coder"
 )
--- a/internal/recorder/restored_test.go
+++ b/internal/recorder/restored_test.go
@@ -63,7 +63,7 @@
 	cl.kill(first) // another node becomes the owner
 	time.Sleep(5 * time.Second)
 	for i := range 200 { // more than a head holds
-		go func() { _ = cl.call(cl.ownerOf("k"), fmt.Sprint("k", i), 1) }()
+		go func() { _ = cl.call(cl.ownerOf("k"), fmt.Sprint("k", i), uint64(i)) }()
 	}
 	time.Sleep(6 * time.Second)
 	owner := cl.ownerOf("k")
@@ -82,7 +82,7 @@
 	time.Sleep(3 * time.Second)
 	for i := range 200 {
 		for _, name := range cl.alive() {
-			go func() { _ = cl.call(name, fmt.Sprint("k", i), 1) }()
+			go func() { _ = cl.call(name, fmt.Sprint("k", i), uint64(i)) }()
 		}
 	}
 	time.Sleep(5 * time.Second)
