Restorations have files of their own in assigner, configurer and recorder

What a package does when the store was restored stands in restored.go, what a reader of a source makes of it in sourcereader.go; whether a store was ever restored is known to its EraTracker alone. No change of what nodes do.

--- a/internal/assigner/assigner.go
+++ b/internal/assigner/assigner.go
@@ -35,9 +35,6 @@
 	// read from the store.
 	DefaultMaxStampAge = 3 * time.Second
 
-	// firstEra is the era of a store that was never restored.
-	firstEra = 1
-
 	storeTimeout = time.Second
 	// claimWritersPerStep is the approximate number of nodes that write claims
 	// in one step interval.
@@ -189,17 +186,6 @@
 	}
 }
 
-// NoteEra records an era of the store. After a restoration from an older copy the
-// store may hold an older share assignment, so that it is read at once.
-func (a *Assigner) NoteEra(era uint64) {
-	for {
-		known := a.notedEra.Load()
-		if era <= known || a.notedEra.CompareAndSwap(known, era) {
-			return
-		}
-	}
-}
-
 func (a *Assigner) isOutdated() bool {
 	if a.notedEra.Load() > a.state.readEra {
 		return true
@@ -244,74 +230,6 @@
 	}
 }
 
-// isFromOlderCopy reports whether the store holds an older share assignment than
-// this node or the fleet knows, or one that was made of an older one, as it may
-// once it was restored. Nothing may be derived from that, since other processes
-// hold shares by the later one.
-func (a *Assigner) isFromOlderCopy(h head) bool {
-	if number, _, ok := a.NewestNumber(); ok && h.Number < number {
-		return true
-	}
-	own := a.Assignment()
-	if own == nil {
-		return false
-	}
-	return h.Number < own.Number || h.Number == own.Number && a.state.adoptedBody != "" && h.Body != a.state.adoptedBody
-}
-
-// awaitsTurn reports whether the store holds an older assignment and other nodes
-// are to write the newest one before this node tries. It ends once a newer number
-// is known.
-func (a *Assigner) awaitsTurn() bool {
-	if a.state.outdatedSince.IsZero() {
-		return false
-	}
-	if number, _, ok := a.NewestNumber(); ok && number > a.state.outdatedNumber {
-		a.state.outdatedSince = time.Time{}
-		return false
-	}
-	turn := time.Duration(writePosition(a.Members(), a.Self.Name, "restored")) * a.stepInterval()
-	return a.now().Sub(a.state.outdatedSince) < turn
-}
-
-// writeAgain writes the assignment that the store has lost, with the next number,
-// if this node has the newest one. The nodes try one after the other. If no member
-// turns out to have it, its holders are gone, and what the store holds takes the
-// next number.
-func (a *Assigner) writeAgain(ctx context.Context) {
-	number, _, _ := a.NewestNumber()
-	if own := a.Assignment(); own != nil {
-		number = max(number, own.Number)
-	}
-	if a.state.outdatedSince.IsZero() {
-		a.state.outdatedSince, a.state.outdatedNumber = a.now(), number
-	}
-	if a.awaitsTurn() {
-		return
-	}
-	next := a.Assignment()
-	if next == nil || next.Number < number {
-		if a.now().Sub(a.state.outdatedSince) < 2*orDefault(a.HolderTimeout, DefaultHolderTimeout) {
-			return
-		}
-		if next = a.stored(ctx); next == nil {
-			return
-		}
-	}
-	a.Tracer.Add(tracer.Event{Kind: "shares-restored", Detail: fmt.Sprintf("the store had assignment %d, the newest is %d", a.state.head.Number, number)})
-	a.write(ctx, next.withNumber(number+1))
-}
-
-// stored returns the assignment that the store holds, a first one if it holds
-// none, or nil if it cannot be read.
-func (a *Assigner) stored(ctx context.Context) *Assignment {
-	if a.state.headVersion == 0 {
-		wide, config := a.wideHashes()
-		return New(0, Plan(a.Members()), wide, config)
-	}
-	return a.readBody(ctx, a.state.head)
-}
-
 // fetchFromPeer adopts a peer's assignment if it is newer, while the store does
 // not answer. This is safe since every assignment that a node has was
 // committed.
@@ -375,7 +293,7 @@
 		return
 	}
 	number := uint64(1)
-	if a.Store.Eras != nil && a.Store.Eras.Current() > firstEra {
+	if a.Store.Eras.Restored() {
 		number++
 	}
 	wide, config := a.wideHashes()
--- /dev/null
+++ b/internal/configurer/sourcereader.go
@@ -0,0 +1,133 @@
+package configurer
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/zinniaproxy/zinniaproxy/internal/tracer"
+	"github.com/zinniaproxy/zinniaproxy/pkg/coder"
+	"github.com/zinniaproxy/zinniaproxy/pkg/declarer"
+)
+
+// settleTime is how long after a restoration the operators may take to write again
+// what the source has lost.
+const settleTime = 5 * time.Second
+
+// sourceReader turns observations of one node into declarations to install.
+type sourceReader struct {
+	c *Configurer
+	// last is the latest observation.
+	last *Observation
+	// eraBegan is when the node first observed the era of last.
+	eraBegan time.Time
+	// merges is set while the orders of the era are merged with those from before
+	// the restoration.
+	merges bool
+	// kept holds the data centres that were to be emptied before the restoration
+	// and whose order the operators have not taken back since.
+	kept map[string]bool
+}
+
+// next waits for an observation. While orders from before a restoration are kept,
+// it returns the last one again when the operators' time to renew them is over.
+func (r *sourceReader) next(ctx context.Context) (*Observation, error) {
+	if len(r.kept) == 0 {
+		return r.c.DeclarationSource(ctx)
+	}
+	waitCtx, cancel := context.WithDeadline(ctx, r.eraBegan.Add(settleTime))
+	defer cancel()
+	o, err := r.c.DeclarationSource(waitCtx)
+	switch {
+	case o == nil && waitCtx.Err() != nil && ctx.Err() == nil:
+		return r.last, nil
+	case err != nil:
+		r.eraBegan = time.Now() // operators may not reach the source either
+	}
+	return o, err
+}
+
+// install puts what the node has observed in force, unless a later declaration is.
+func (r *sourceReader) install(o *Observation) error {
+	if o.Version > maxSourceVersion {
+		return coder.New(coder.BadDeclaration, "version %d of the declaration is above %d", o.Version, uint64(maxSourceVersion))
+	}
+	inForce := decodeSourceNumber(r.c.Number())
+	r.note(o, inForce)
+	if o.Version == 0 && r.c.Index() == nil {
+		return nil
+	}
+	n := sourceNumber{
+		version: o.Version, era: o.Era, trust: r.trust(inForce), stored: true, revision: o.Revision - min(o.Revision, o.DeclaredAt),
+	}
+	d := declaration{Fleet: o.Fleet, Identity: o.Identity}
+	if o.Version < inForce.version {
+		// Only a restored source has an older declaration than the fleet.
+		r.c.Tracer.Add(tracer.Event{Kind: "source-outdated", Detail: fmt.Sprintf("%v stays in force, the source has version %d, era %d", inForce, o.Version, o.Era)})
+		n.version, n.stored, d.Identity = inForce.version, false, r.c.Head().Identity
+		d.Fleet = r.c.Index().Fleet()
+		d.Fleet.Centres = o.Fleet.Centres
+	}
+	d.Fleet.Centres = r.keepOrders(d.Fleet.Centres)
+	d.Number = n.encode()
+	return r.c.installDeclared(d)
+}
+
+// note records an observation, and which orders of before a restoration are kept.
+func (r *sourceReader) note(o *Observation, inForce sourceNumber) {
+	if r.last == nil || o.Era != r.last.Era {
+		r.eraBegan, r.merges, r.kept = time.Now(), false, nil
+	} else {
+		r.dropTakenBack(o)
+	}
+	r.last = o
+	switch {
+	case r.settled():
+		r.kept = nil
+	case !r.merges && r.c.Index() != nil && (!inForce.sameEra(o.Era) || inForce.trust == trustMerged):
+		// What is in force is from before the restoration, or was merged with it
+		// by another node.
+		r.merges, r.kept = true, map[string]bool{}
+		for _, centre := range r.c.Index().Fleet().Centres {
+			if centre.Out {
+				r.kept[centre.Name] = true
+			}
+		}
+	}
+}
+
+// dropTakenBack drops the kept orders that the last observation, of the same era,
+// had and this one does not have.
+func (r *sourceReader) dropTakenBack(o *Observation) {
+	for _, centre := range r.last.Fleet.Centres {
+		if centre.Out && !isOut(o.Fleet.Centres, centre.Name) {
+			delete(r.kept, centre.Name)
+		}
+	}
+}
+
+func (r *sourceReader) settled() bool { return time.Since(r.eraBegan) >= settleTime }
+
+func (r *sourceReader) trust(inForce sourceNumber) trust {
+	switch {
+	case r.settled(), inForce.sameEra(r.last.Era) && inForce.trust == trustSettled:
+		return trustSettled
+	case r.merges:
+		return trustMerged
+	}
+	return trustUnknown
+}
+
+func isOut(centres []declarer.Centre, name string) bool {
+	return slices.ContainsFunc(centres, func(c declarer.Centre) bool { return c.Name == name && c.Out })
+}
+
+// keepOrders returns data centres of which the kept ones are to be emptied too.
+func (r *sourceReader) keepOrders(centres []declarer.Centre) []declarer.Centre {
+	out := slices.Clone(centres)
+	for i := range out {
+		out[i].Out = out[i].Out || r.kept[out[i].Name]
+	}
+	return out
+}
--- a/internal/recorder/commit.go
+++ b/internal/recorder/commit.go
@@ -274,45 +274,6 @@
 	return false, true
 }
 
-// isFromOlderCopy reports whether a head is from before this node's ownership, or
-// of it but from an older copy of the store.
-func (s *shard) isFromOlderCopy(h *head, version uint64) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if h.Epoch == s.epoch || s.previous != (OwnershipEpoch{}) && h.Epoch == s.previous {
-		return s.version != 0 && storer.EraOf(version) != storer.EraOf(s.version)
-	}
-	return h.Epoch.Term < s.epoch.Term
-}
-
-// confirmOwnership reports whether a majority of the members know of no later
-// owner, whose head the restored store may have lost. If the majority does not know
-// of this owner, it gives the shard up.
-func (s *shard) confirmOwnership(ctx context.Context, epoch OwnershipEpoch) bool {
-	res := s.requestVotes(ctx, &VoteRequest{Shard: s.number, Purpose: purposeConfirm, Owner: s.recorder.Node, Epoch: epoch})
-	if res.majority && res.maxTerm <= epoch.Term {
-		return true
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if res.answered && s.role == roleOwner && s.epoch == epoch {
-		s.trace("shard-lost", fmt.Sprintf("%s: not confirmed after a restoration, the highest term is %d", s.storePrefix(), res.maxTerm))
-		s.dropOwnership()
-	}
-	return false
-}
-
-// storeAllAgain has all records written anew over the head with a version. The
-// caller holds the lock.
-func (s *shard) storeAllAgain(version uint64) {
-	s.trace("shard-restored", fmt.Sprintf("%s: %d records are written again", s.storePrefix(), len(s.records)))
-	s.version, s.segments, s.headRecords = version, nil, map[keyDigest]*record{}
-	for k, rec := range s.records {
-		s.dirty[k] = rec
-	}
-	s.urgent = true
-}
-
 // restoreBatch marks the records of a failed batch dirty again. The caller
 // holds the lock.
 func (s *shard) restoreBatch(b *batch) {
--- a/internal/recorder/ownership.go
+++ b/internal/recorder/ownership.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"slices"
 	"strings"
 	"time"
@@ -121,7 +120,7 @@
 	}
 	before, lost := h, s.recorder.mayHaveLost(&h, version)
 	before.Released = before.Released && !lost
-	completeEra := max(h.era(), firstEra)
+	completeEra := max(h.era(), unknownEra)
 	if !lost {
 		completeEra = s.recorder.era()
 	}
@@ -160,37 +159,6 @@
 	return nil
 }
 
-// firstEra is the era of a store that was never restored.
-const firstEra = 1
-
-// era returns the highest known era of the store, or 0 if it does not tell it.
-func (r *Recorder) era() uint64 {
-	if r.Store.Eras == nil {
-		return 0
-	}
-	return r.Store.Eras.Current()
-}
-
-// mayHaveLost reports whether the store may have lost records of a shard: it was
-// restored from an older copy, and its head, if there is one, is from before.
-func (r *Recorder) mayHaveLost(h *head, version uint64) bool {
-	if version == 0 {
-		return r.era() > firstEra
-	}
-	return h.era() != 0 && h.era() < storer.EraOf(version)
-}
-
-// blockForLostRecords refuses calls until all records have expired that a restored
-// store may have lost: they are from before this process knew its era. The caller
-// holds the lock.
-func (s *shard) blockForLostRecords() {
-	s.trace("shard-incomplete", fmt.Sprintf("%s was last complete in era %d", s.storePrefix(), s.completeEra))
-	until := s.recorder.eraKnownSince(s.recorder.era()).Add(s.recorder.retention())
-	if until.After(s.blockedUntil) {
-		s.blockedUntil = until
-	}
-}
-
 // becomeOwner installs the loaded state and makes this node the owner. The
 // caller holds the lock.
 func (s *shard) becomeOwner(h head, version uint64, records map[keyDigest]*record, segments []segment, res voteResult) {
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -164,33 +164,6 @@
 	return nil
 }
 
-// NoteEra records an era of the store. After a restoration from an older copy the
-// store may lack records and ownerships of this node, which it then writes again.
-// It does not block.
-func (r *Recorder) NoteEra(era uint64) {
-	r.setupOnce.Do(r.setup)
-	r.eraKnownSince(era)
-	for _, s := range r.shards {
-		s.mu.Lock()
-		if s.role == roleOwner && s.version != 0 && storer.EraOf(s.version) < era {
-			s.votersRefreshedAt = time.Time{} // a commit is due
-			s.wakeUp()
-		}
-		s.mu.Unlock()
-	}
-}
-
-// eraKnownSince returns since when this process has known that the store is in an
-// era or a later one. The store was restored before.
-func (r *Recorder) eraKnownSince(era uint64) time.Time {
-	r.eraMu.Lock()
-	defer r.eraMu.Unlock()
-	if era > r.notedEra || r.eraNotedAt.IsZero() {
-		r.notedEra, r.eraNotedAt = era, time.Now()
-	}
-	return r.eraNotedAt
-}
-
 // digestKey returns the digest of a workspace and its idempotency key.
 func digestKey(workspace, key string) keyDigest {
 	h := sha256.New()
--- a/internal/storer/era.go
+++ b/internal/storer/era.go
@@ -29,6 +29,13 @@
 	return t.current
 }
 
+// firstEra is the era of a store that was never restored.
+const firstEra = 1
+
+// Restored reports whether the store was ever restored, as far as replies tell. A
+// nil tracker knows of no restoration.
+func (t *EraTracker) Restored() bool { return t != nil && t.Current() > firstEra }
+
 // Observe records the era of a reply; 0 means that the reply has none. It returns
 // ErrOutdatedReply if a reply of a higher era came before.
 func (t *EraTracker) Observe(era uint64) error {
