configurer: what only started nodes have read is followed once the source has settled

What would be seen: nodes that do not reach the store after a restoration take changes from others; if only nodes that started since reach it, the others never take a change, since what these have read is not trusted and is not offered again.

Cause: the trust of a number rose with the next change only. A reader now reads the source once more when the operators' five seconds are over, also where it has kept orders, so that nothing is made of what a silent connection kept old, and offers what it holds with full trust. The assigner compares the store with what the fleet knew before it read, not after: a number heard meanwhile is no sign of a restoration.

--- a/internal/assigner/assigner.go
+++ b/internal/assigner/assigner.go
@@ -202,6 +202,7 @@
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	at, era := a.now(), a.notedEra.Load()
+	newest, _, _ := a.NewestNumber()
 	e, err := a.Store.Get(ctx, Key)
 	if err != nil {
 		a.fetchFromPeer(ctx)
@@ -213,7 +214,7 @@
 		return
 	}
 	a.state.headVersion, a.state.head = e.Version, h
-	if a.isFromOlderCopy(h) {
+	if a.isFromOlderCopy(h, newest) {
 		a.state.fetchedAt = time.Time{}
 		a.fetchFromPeer(ctx)
 		a.writeAgain(ctx)
--- a/internal/assigner/restored.go
+++ b/internal/assigner/restored.go
@@ -20,11 +20,11 @@
 }
 
 // isFromOlderCopy reports whether the store holds an older share assignment than
-// this node or the fleet knows, or one that was made of an older one, as it may
-// once it was restored. Nothing may be derived from that, since other processes
-// hold shares by the later one.
-func (a *Assigner) isFromOlderCopy(h head) bool {
-	if number, _, ok := a.NewestNumber(); ok && h.Number < number {
+// this node has or the fleet knew, newest, before the store was read; or one that
+// was made of an older one. Only a restored store does. Nothing may be derived from
+// that, since other processes hold shares by the later one.
+func (a *Assigner) isFromOlderCopy(h head, newest uint64) bool {
+	if h.Number < newest {
 		return true
 	}
 	own := a.Assignment()
--- a/internal/configurer/configurer.go
+++ b/internal/configurer/configurer.go
@@ -76,8 +76,9 @@
 	ExpectPeers bool
 	// DeclarationSource waits for a change of what the operators declare and
 	// returns what it holds then, or after a while nil if there was none. The
-	// first call does not wait. It replaces the head and parts in the store where
-	// operators keep their declaration elsewhere. Nil means the store.
+	// first call, and one after a call that failed or was canceled, does not wait.
+	// It replaces the head and parts in the store where operators keep their
+	// declaration elsewhere. Nil means the store.
 	DeclarationSource func(ctx context.Context) (*Observation, error)
 	// SourceReader reports whether this node reads changes from the source for
 	// the others. Every node reads the first declaration itself. Nil means that
--- a/internal/configurer/source.go
+++ b/internal/configurer/source.go
@@ -157,5 +157,5 @@
 // nothing, so that what a node reads that knows less does not replace it.
 func addsTrust(inForce, next uint64) bool {
 	before, after := decodeSourceNumber(inForce), decodeSourceNumber(next)
-	return before.version != after.version || before.era != after.era || before.trust == trustUnknown && after.trust == trustMerged
+	return before.version != after.version || before.era != after.era || before.trust == trustUnknown && after.trust != trustUnknown
 }
--- a/internal/configurer/sourcereader.go
+++ b/internal/configurer/sourcereader.go
@@ -25,29 +25,55 @@
 	// merges is set while the orders of the era are merged with those from before
 	// the restoration.
 	merges bool
+	// confirmed is set once the source was read after the era had settled.
+	confirmed bool
 	// kept holds the data centres that were to be emptied before the restoration
 	// and whose order the operators have not taken back since.
 	kept map[string]bool
 }
 
-// next waits for an observation. While orders from before a restoration are kept,
-// it returns the last one again when the operators' time to renew them is over.
+// next waits for an observation. It returns the last one again when the operators'
+// time to write again what a restoration lost is over, if that changes what may be
+// made of it.
 func (r *sourceReader) next(ctx context.Context) (*Observation, error) {
-	if len(r.kept) == 0 {
+	if !r.awaitsSettling() {
 		return r.c.DeclarationSource(ctx)
 	}
 	waitCtx, cancel := context.WithDeadline(ctx, r.eraBegan.Add(settleTime))
 	defer cancel()
 	o, err := r.c.DeclarationSource(waitCtx)
-	switch {
-	case o == nil && waitCtx.Err() != nil && ctx.Err() == nil:
-		return r.last, nil
-	case err != nil:
+	if o == nil && waitCtx.Err() != nil && ctx.Err() == nil {
+		o, err = r.confirm(ctx)
+	}
+	if err != nil {
 		r.eraBegan = time.Now() // operators may not reach the source either
 	}
 	return o, err
 }
 
+// confirm returns what the source holds now that the era has settled, so that
+// nothing is made of an observation that a silent connection has kept old.
+func (r *sourceReader) confirm(ctx context.Context) (*Observation, error) {
+	o, err := r.c.DeclarationSource(ctx)
+	if err == nil {
+		r.confirmed = true
+	}
+	if o == nil && err == nil {
+		o = r.last
+	}
+	return o, err
+}
+
+// awaitsSettling reports whether orders from before a restoration are kept, or what
+// is in force may not be followed by nodes that knew more before.
+func (r *sourceReader) awaitsSettling() bool {
+	if r.last == nil || r.confirmed {
+		return false
+	}
+	inForce := decodeSourceNumber(r.c.Number())
+	return len(r.kept) > 0 || inForce.sameEra(r.last.Era) && inForce.trust == trustUnknown
+}
+
 // install puts what the node has observed in force, unless a later declaration is.
 func (r *sourceReader) install(o *Observation) error {
 	if o.Version > maxSourceVersion {
@@ -77,7 +103,7 @@
 // note records an observation, and which orders of before a restoration are kept.
 func (r *sourceReader) note(o *Observation, inForce sourceNumber) {
 	if r.last == nil || o.Era != r.last.Era {
-		r.eraBegan, r.merges, r.kept = time.Now(), false, nil
+		r.eraBegan, r.merges, r.confirmed, r.kept = time.Now(), false, false, nil
 	} else {
 		r.dropTakenBack(o)
 	}
