--- /dev/null
+++ b/review/standin/lab/upstream.go
@@ -0,0 +1,195 @@
+package lab
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+)
+
+const healthPath = "/health"
+
+// Run is one request that an upstream began to work on.
+type Run struct {
+	ID   string
+	Path string
+	At   time.Time
+}
+
+// Upstream is a sound upstream: it runs up to Slots requests at once and lets the
+// others wait. Set the exported fields before Start.
+type Upstream struct {
+	// ID is the name of the process.
+	ID string
+	// Slots is how many requests it runs at once.
+	Slots int
+	// Work is how long a request takes, Size the bytes of an answer.
+	Work func(r *http.Request) time.Duration
+	Size int
+	// Spoil returns the bytes that take the place of the sound answer to a request,
+	// or "". Nil means that all answers are sound.
+	Spoil func(id string) string
+
+	node     *Node
+	slots    chan struct{}
+	sequence uint64
+
+	mu      sync.Mutex
+	runs    []Run
+	waiting int
+}
+
+// AddUpstream starts an upstream on a machine and lets it send heartbeats.
+func (n *Node) AddUpstream(u *Upstream) error {
+	u.node, u.slots = n, make(chan struct{}, u.Slots)
+	ln, err := net.Listen("tcp", n.UpstreamAddress)
+	if err != nil {
+		return err
+	}
+	go func() { _ = http.Serve(ln, u) }()
+	go u.beat(time.Now())
+	n.lab.Logf("%s: upstream %s of %s started, %d slots", n.Name, u.ID, n.Service, u.Slots)
+	return nil
+}
+
+func (u *Upstream) beat(born time.Time) {
+	for {
+		if err := u.announce(born); err != nil {
+			u.node.lab.Logf("%s: heartbeat failed: %v", u.ID, err)
+		}
+		time.Sleep(heartbeat)
+	}
+}
+
+// announce sends one heartbeat.
+func (u *Upstream) announce(born time.Time) error {
+	u.sequence++
+	b, err := json.Marshal(map[string]any{
+		"address": u.node.UpstreamAddress, "born": born.UnixMilli(),
+		"info":   map[string]any{"service": u.node.Service, "version": "v1", "zone": u.node.Zone, "slots": u.Slots},
+		"status": map[string]any{"state": "ready", "sequence": u.sequence, names.ColdRemaining: 0},
+	})
+	if err != nil {
+		return err
+	}
+	req, err := http.NewRequest(http.MethodPut, "http://"+u.node.control+names.InstancesPath+u.ID, bytes.NewReader(b))
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	res, err := (&http.Client{Timeout: time.Second}).Do(req)
+	if err != nil {
+		return err
+	}
+	return res.Body.Close()
+}
+
+// Runs returns the requests that the upstream began to work on.
+func (u *Upstream) Runs() []Run {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return slices.Clone(u.runs)
+}
+
+// ServeHTTP serves a request of a node.
+func (u *Upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	_, err := io.Copy(io.Discard, r.Body)
+	if err != nil {
+		return
+	}
+	if expected := r.Header.Get(names.ExpectInstance); expected != "" && expected != u.ID {
+		w.Header().Set(names.InstanceID, u.ID)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	if !u.acquire(r) {
+		return
+	}
+	defer func() { <-u.slots }()
+	if r.URL.Path == healthPath {
+		u.setLoad(w)
+		w.Header().Set(names.InstanceID, u.ID)
+		return
+	}
+	u.run(w, r)
+}
+
+// acquire waits for a slot, or until the node closes the connection.
+func (u *Upstream) acquire(r *http.Request) bool {
+	u.mu.Lock()
+	u.waiting++
+	u.mu.Unlock()
+	defer func() {
+		u.mu.Lock()
+		defer u.mu.Unlock()
+		u.waiting--
+	}()
+	select {
+	case u.slots <- struct{}{}:
+		return true
+	case <-r.Context().Done():
+		return false
+	}
+}
+
+func (u *Upstream) setLoad(w http.ResponseWriter) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	w.Header().Set(names.Load, fmt.Sprintf("%d,%d,%d", len(u.slots), u.waiting, u.Slots))
+}
+
+// run works on a request until it is done or the node closes the connection.
+func (u *Upstream) run(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get(names.AttemptID)
+	u.mu.Lock()
+	u.runs = append(u.runs, Run{ID: id, Path: r.URL.Path, At: time.Now()})
+	u.mu.Unlock()
+	u.node.lab.Logf("%s: runs %s %s", u.ID, id, r.URL.Path)
+	select {
+	case <-time.After(u.Work(r)):
+	case <-r.Context().Done():
+		u.node.lab.Logf("%s: drops %s, the node closed the connection", u.ID, id)
+		return
+	}
+	u.node.lab.Logf("%s: is done with %s", u.ID, id)
+	if u.Spoil != nil {
+		if spoiled := u.Spoil(id); spoiled != "" {
+			u.node.lab.Logf("%s: answers %s with %q", u.ID, id, spoiled)
+			writeRaw(w, spoiled)
+			return
+		}
+	}
+	u.setLoad(w)
+	w.Header().Set(names.AttemptID, id)
+	w.Header().Set(names.Signature, signature(id))
+	_, _ = w.Write([]byte(Body(id, u.Size)))
+}
+
+// writeRaw writes bytes and keeps the connection open until the node closes it.
+func writeRaw(w http.ResponseWriter, raw string) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	_, _ = conn.Write([]byte(raw))
+	_, _ = io.Copy(io.Discard, conn)
+}
+
+// Spoiled returns a complete answer to a request with a status line of choice.
+func Spoiled(statusLine, id string) string {
+	return fmt.Sprintf("HTTP/1.1 %s\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", statusLine, names.AttemptID, id)
+}
+
+func signature(id string) string { return "signed-" + id }
+
+// Body returns the body of the answer to a request.
+func Body(id string, size int) string {
+	return id + strings.Repeat(".", max(size-len(id), 0))
+}
