--- a/review/standin/cmd/evacuate/main.go
+++ b/review/standin/cmd/evacuate/main.go
@@ -28,7 +28,7 @@
 func main() { lab.Main(run) }
 
 func run(l *lab.Lab) error {
-	front, err := l.AddNode("zone-a", "front")
+	front, err := l.AddNode("zone-c", "front")
 	if err != nil {
 		return err
 	}
--- a/review/standin/lab/upstream.go
+++ b/review/standin/lab/upstream.go
@@ -35,50 +35,106 @@
 	// Spoil returns the bytes that take the place of the sound answer to a request,
 	// or "". Nil means that all answers are sound.
 	Spoil func(id string) string
+	// Crashes reports whether a request ends the process when it begins to run. Nil
+	// means that none does. The upstream is back after crashTime, with another ID.
+	Crashes func(r *http.Request) bool
 
-	node     *Node
-	slots    chan struct{}
-	sequence uint64
+	node  *Node
+	slots chan struct{}
 
-	mu      sync.Mutex
-	runs    []Run
-	waiting int
+	mu       sync.Mutex
+	runs     []Run
+	waiting  int
+	sequence uint64
+	starts   int
+	// server and stopped are those of the present process.
+	server  *http.Server
+	stopped chan struct{}
 }
 
+// crashTime is how long an upstream is away after a crash.
+const crashTime = 3 * time.Second
+
 // AddUpstream starts an upstream on a machine and lets it send heartbeats.
 func (n *Node) AddUpstream(u *Upstream) error {
-	u.node, u.slots = n, make(chan struct{}, u.Slots)
-	ln, err := net.Listen("tcp", n.UpstreamAddress)
+	u.node = n
+	return u.start()
+}
+
+// start starts a process of the upstream.
+func (u *Upstream) start() error {
+	ln, err := net.Listen("tcp", u.node.UpstreamAddress)
 	if err != nil {
 		return err
 	}
-	go func() { _ = http.Serve(ln, u) }()
-	go u.beat(time.Now())
-	n.lab.Logf("%s: upstream %s of %s started, %d slots", n.Name, u.ID, n.Service, u.Slots)
+	u.mu.Lock()
+	u.starts++
+	u.sequence, u.slots = 0, make(chan struct{}, u.Slots)
+	u.server, u.stopped = &http.Server{Handler: u}, make(chan struct{})
+	server, stopped, id := u.server, u.stopped, u.processID()
+	u.mu.Unlock()
+	go func() { _ = server.Serve(ln) }()
+	go u.beat(time.Now(), stopped)
+	u.node.lab.Logf("%s: upstream %s of %s started, %d slots", u.node.Name, id, u.node.Service, u.Slots)
 	return nil
 }
 
-func (u *Upstream) beat(born time.Time) {
+// processID returns the ID of the present process. The caller holds the lock.
+func (u *Upstream) processID() string {
+	if u.starts <= 1 {
+		return u.ID
+	}
+	return fmt.Sprintf("%s-%d", u.ID, u.starts)
+}
+
+// crash ends the process without a word, and starts another one after crashTime.
+func (u *Upstream) crash() {
+	u.mu.Lock()
+	server, stopped := u.server, u.stopped
+	u.mu.Unlock()
+	select {
+	case <-stopped:
+		return
+	default:
+	}
+	close(stopped)
+	_ = server.Close()
+	u.node.lab.Logf("%s: crashes", u.ID)
+	time.AfterFunc(crashTime, func() {
+		if err := u.start(); err != nil {
+			u.node.lab.Logf("%s: not started again: %v", u.ID, err)
+		}
+	})
+}
+
+func (u *Upstream) beat(born time.Time, stopped chan struct{}) {
 	for {
 		if err := u.announce(born); err != nil {
 			u.node.lab.Logf("%s: heartbeat failed: %v", u.ID, err)
 		}
-		time.Sleep(heartbeat)
+		select {
+		case <-stopped:
+			return
+		case <-time.After(heartbeat):
+		}
 	}
 }
 
 // announce sends one heartbeat.
 func (u *Upstream) announce(born time.Time) error {
+	u.mu.Lock()
 	u.sequence++
+	id, sequence := u.processID(), u.sequence
+	u.mu.Unlock()
 	b, err := json.Marshal(map[string]any{
 		"address": u.node.UpstreamAddress, "born": born.UnixMilli(),
 		"info":   map[string]any{"service": u.node.Service, "version": "v1", "zone": u.node.Zone, "slots": u.Slots},
-		"status": map[string]any{"state": "ready", "sequence": u.sequence, names.ColdRemaining: 0},
+		"status": map[string]any{"state": "ready", "sequence": sequence, names.ColdRemaining: 0},
 	})
 	if err != nil {
 		return err
 	}
-	req, err := http.NewRequest(http.MethodPut, "http://"+u.node.control+names.InstancesPath+u.ID, bytes.NewReader(b))
+	req, err := http.NewRequest(http.MethodPut, "http://"+u.node.control+names.InstancesPath+id, bytes.NewReader(b))
 	if err != nil {
 		return err
 	}
@@ -103,25 +159,28 @@
 	if err != nil {
 		return
 	}
-	if expected := r.Header.Get(names.ExpectInstance); expected != "" && expected != u.ID {
-		w.Header().Set(names.InstanceID, u.ID)
+	u.mu.Lock()
+	id, slots := u.processID(), u.slots
+	u.mu.Unlock()
+	if expected := r.Header.Get(names.ExpectInstance); expected != "" && expected != id {
+		w.Header().Set(names.InstanceID, id)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	if !u.acquire(r) {
+	if !u.acquire(r, slots) {
 		return
 	}
-	defer func() { <-u.slots }()
+	defer func() { <-slots }()
 	if r.URL.Path == healthPath {
 		u.setLoad(w)
-		w.Header().Set(names.InstanceID, u.ID)
+		w.Header().Set(names.InstanceID, id)
 		return
 	}
 	u.run(w, r)
 }
 
 // acquire waits for a slot, or until the node closes the connection.
-func (u *Upstream) acquire(r *http.Request) bool {
+func (u *Upstream) acquire(r *http.Request, slots chan struct{}) bool {
 	u.mu.Lock()
 	u.waiting++
 	u.mu.Unlock()
@@ -131,7 +190,7 @@
 		u.waiting--
 	}()
 	select {
-	case u.slots <- struct{}{}:
+	case slots <- struct{}{}:
 		return true
 	case <-r.Context().Done():
 		return false
@@ -151,6 +210,10 @@
 	u.runs = append(u.runs, Run{ID: id, Path: r.URL.Path, At: time.Now()})
 	u.mu.Unlock()
 	u.node.lab.Logf("%s: runs %s %s", u.ID, id, r.URL.Path)
+	if u.Crashes != nil && u.Crashes(r) {
+		u.crash()
+		return
+	}
 	select {
 	case <-time.After(u.Work(r)):
 	case <-r.Context().Done():
