--- a/review/standin/lab/lab.go
+++ b/review/standin/lab/lab.go
@@ -31,6 +31,7 @@
 	ExpectInstance string   `json:"expectInstance"`
 	InstanceID     string   `json:"instanceID"`
 	Load           string   `json:"load"`
+	Leaving        string   `json:"leaving"`
 	Era            string   `json:"era"`
 	ConfigKey      string   `json:"configKey"`
 	EvacuatePrefix string   `json:"evacuatePrefix"`
--- a/review/standin/lab/upstream.go
+++ b/review/standin/lab/upstream.go
@@ -36,8 +36,10 @@
 	// or "". Nil means that all answers are sound.
 	Spoil func(id string) string
 	// Crashes reports whether a request ends the process when it begins to run. Nil
-	// means that none does. The upstream is back after crashTime, with another ID.
+	// means that none does. The upstream is back after crashTime.
 	Crashes func(r *http.Request) bool
+	// KeepsID tells that the upstream has the same ID after a restart.
+	KeepsID bool
 
 	node  *Node
 	slots chan struct{}
@@ -47,6 +49,7 @@
 	waiting  int
 	sequence uint64
 	starts   int
+	leaving  bool
 	// server and stopped are those of the present process.
 	server  *http.Server
 	stopped chan struct{}
@@ -69,6 +72,7 @@
 	}
 	u.mu.Lock()
 	u.starts++
+	u.leaving = false
 	u.sequence, u.slots = 0, make(chan struct{}, u.Slots)
 	u.server, u.stopped = &http.Server{Handler: u}, make(chan struct{})
 	server, stopped, id := u.server, u.stopped, u.processID()
@@ -81,12 +85,26 @@
 
 // processID returns the ID of the present process. The caller holds the lock.
 func (u *Upstream) processID() string {
-	if u.starts <= 1 {
+	if u.starts <= 1 || u.KeepsID {
 		return u.ID
 	}
 	return fmt.Sprintf("%s-%d", u.ID, u.starts)
 }
 
+// leaveTime is how long an upstream that leaves goes on to serve.
+const leaveTime = 2 * time.Second
+
+// Restart says in all answers that the upstream leaves, ends the process after
+// leaveTime, and starts another one.
+func (u *Upstream) Restart() {
+	u.mu.Lock()
+	u.leaving = true
+	u.mu.Unlock()
+	u.node.lab.Logf("%s: leaves", u.ID)
+	time.Sleep(leaveTime)
+	u.crash()
+}
+
 // crash ends the process without a word, and starts another one after crashTime.
 func (u *Upstream) crash() {
 	u.mu.Lock()
@@ -99,7 +117,7 @@
 	}
 	close(stopped)
 	_ = server.Close()
-	u.node.lab.Logf("%s: crashes", u.ID)
+	u.node.lab.Logf("%s: process ends", u.ID)
 	time.AfterFunc(crashTime, func() {
 		if err := u.start(); err != nil {
 			u.node.lab.Logf("%s: not started again: %v", u.ID, err)
@@ -172,7 +190,7 @@
 	}
 	defer func() { <-slots }()
 	if r.URL.Path == healthPath {
-		u.setLoad(w)
+		u.setState(w)
 		w.Header().Set(names.InstanceID, id)
 		return
 	}
@@ -197,10 +215,13 @@
 	}
 }
 
-func (u *Upstream) setLoad(w http.ResponseWriter) {
+func (u *Upstream) setState(w http.ResponseWriter) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	w.Header().Set(names.Load, fmt.Sprintf("%d,%d,%d", len(u.slots), u.waiting, u.Slots))
+	if u.leaving {
+		w.Header().Set(names.Leaving, "1")
+	}
 }
 
 // run works on a request until it is done or the node closes the connection.
@@ -228,7 +249,7 @@
 			return
 		}
 	}
-	u.setLoad(w)
+	u.setState(w)
 	w.Header().Set(names.AttemptID, id)
 	w.Header().Set(names.Signature, signature(id))
 	_, _ = w.Write([]byte(Body(id, u.Size)))
