--- a/review/standin/lab/lab.go
+++ b/review/standin/lab/lab.go
@@ -8,10 +8,12 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/signal"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -174,20 +176,34 @@
 	_ = os.RemoveAll(l.dir)
 }
 
-// freePort returns a port that is free for TCP and UDP on an address.
-func freePort(ip string) (int, error) {
-	for range 100 {
-		ln, err := net.Listen("tcp", ip+":0")
-		if err != nil {
-			return 0, err
+// Ports are taken from a range below the one from which the system takes those of
+// outgoing connections.
+const firstPort, portCount = 18_000, 12_000
+
+// freePorts returns different ports that are free for TCP and UDP on an address.
+func freePorts(ip string, count int) ([]int, error) {
+	var ports []int
+	for range 100 * count {
+		if len(ports) == count {
+			return ports, nil
 		}
-		port := ln.Addr().(*net.TCPAddr).Port
-		pc, err := net.ListenPacket("udp", fmt.Sprintf("%s:%d", ip, port))
-		_ = ln.Close()
-		if err == nil {
-			_ = pc.Close()
-			return port, nil
+		port := firstPort + rand.IntN(portCount)
+		if !slices.Contains(ports, port) && isFree(fmt.Sprintf("%s:%d", ip, port)) {
+			ports = append(ports, port)
 		}
 	}
-	return 0, errors.New("no free port")
+	return nil, errors.New("no free ports")
+}
+
+func isFree(address string) bool {
+	ln, err := net.Listen("tcp", address)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = ln.Close() }()
+	pc, err := net.ListenPacket("udp", address)
+	if err != nil {
+		return false
+	}
+	return pc.Close() == nil
 }
--- a/review/standin/lab/node.go
+++ b/review/standin/lab/node.go
@@ -42,13 +42,9 @@
 func (l *Lab) AddNode(zone, service string) (*Node, error) {
 	n := &Node{Zone: zone, Service: service, lab: l, IP: fmt.Sprintf("127.0.1.%d", len(l.nodes)+1)}
 	n.Name = fmt.Sprintf("sidecar-%s-%d", zone, len(l.nodes)+1)
-	var ports [6]int
-	for i := range ports {
-		port, err := freePort(n.IP)
-		if err != nil {
-			return nil, err
-		}
-		ports[i] = port
+	ports, err := freePorts(n.IP, 6)
+	if err != nil {
+		return nil, err
 	}
 	address := func(i int) string { return fmt.Sprintf("%s:%d", n.IP, ports[i]) }
 	n.Outbound, n.ready, n.control, n.UpstreamAddress = address(0), address(1), address(2), address(3)
