--- a/review/standin/lab/upstream.go
+++ b/review/standin/lab/upstream.go
@@ -35,8 +35,8 @@
 	// Spoil returns the bytes that take the place of the sound answer to a request,
 	// or "". Nil means that all answers are sound.
 	Spoil func(id string) string
-	// Crashes reports whether a request ends the process when it begins to run. Nil
-	// means that none does. The upstream is back after crashTime.
+	// Crashes reports whether a request ends the process crashDelay after it began to
+	// run. Nil means that none does. The upstream is back after crashTime.
 	Crashes func(r *http.Request) bool
 	// KeepsID tells that the upstream has the same ID after a restart.
 	KeepsID bool
@@ -55,8 +55,12 @@
 	stopped chan struct{}
 }
 
-// crashTime is how long an upstream is away after a crash.
-const crashTime = 3 * time.Second
+const (
+	// crashDelay is how long an upstream works on a request that crashes it.
+	crashDelay = 10 * time.Millisecond
+	// crashTime is how long an upstream is away after a crash.
+	crashTime = 3 * time.Second
+)
 
 // AddUpstream starts an upstream on a machine and lets it send heartbeats.
 func (n *Node) AddUpstream(u *Upstream) error {
@@ -232,8 +236,7 @@
 	u.mu.Unlock()
 	u.node.lab.Logf("%s: runs %s %s", u.ID, id, r.URL.Path)
 	if u.Crashes != nil && u.Crashes(r) {
-		u.crash()
-		return
+		time.AfterFunc(crashDelay, u.crash)
 	}
 	select {
 	case <-time.After(u.Work(r)):
