--- a/review/standin/lab/node.go
+++ b/review/standin/lab/node.go
@@ -36,6 +36,8 @@
 	mu      sync.Mutex
 	process *exec.Cmd
 	exited  chan struct{}
+	// closed is set at the end of the run, when no process may start any more.
+	closed bool
 }
 
 // AddNode adds a machine. StartNodes starts its process.
@@ -106,13 +108,16 @@
 	defer func() { _ = log.Close() }()
 	c := exec.Command(filepath.Join(n.lab.root, "target", "zinniaproxy"), "node", "-settings", n.settings)
 	c.Dir, c.Stdout, c.Stderr = n.lab.root, log, log
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.closed {
+		return errors.New("the run has ended")
+	}
 	if err := c.Start(); err != nil {
 		return err
 	}
 	exited := make(chan struct{})
-	n.mu.Lock()
 	n.process, n.exited = c, exited
-	n.mu.Unlock()
 	go func() {
 		_ = c.Wait()
 		n.lab.Logf("%s: process ended: %v", n.Name, c.ProcessState)
@@ -164,9 +169,10 @@
 	}()
 }
 
-// kill ends the process, stopped or not.
+// kill ends the process, stopped or not, for good.
 func (n *Node) kill() {
 	n.mu.Lock()
+	n.closed = true
 	process, exited := n.process, n.exited
 	n.mu.Unlock()
 	if process == nil {
