exithandler: a response whose status ends no request is no response

Cause: net/http returns a 101, and any three-character number outside of 100 to 199, as the response. Sender.relay checked the request's ID and the length, never the status.

Change: only 200 to 599 end a request. The exit node treats anything else as a response that broke off (code cut, 'unknown'), also where the head says that the request did not run, and drops idle connections, on which the real response may still come. The entry node checks the head that it gets over a link or from its own exit side.

--- a/internal/attemptsender/attemptsender.go
+++ b/internal/attemptsender/attemptsender.go
@@ -175,6 +175,9 @@
 	if head == nil {
 		return coder.New(coder.Cut, "response has no head")
 	}
+	if !messenger.EndsRequest(head.Status) {
+		return coder.New(coder.Cut, "status %d ends no request", head.Status)
+	}
 	r.Head, r.Buffered, r.Complete = *head, head.Body, last
 	r.Head.Body = nil
 	for !r.Complete && len(r.Buffered) < MaxBufferedBytes {
--- a/internal/exithandler/sender.go
+++ b/internal/exithandler/sender.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -237,6 +238,12 @@
 // relay validates the response to a call sent at a time, on a connection that was
 // used before or not, and passes it to j.Response, or returns a refusal.
 func (s *Sender) relay(ctx context.Context, j *Job, res *http.Response, reused bool, sent time.Time) error {
+	// net/http returns a 101 that nobody asked for, and any status outside of the
+	// defined range, as the response.
+	if !messenger.EndsRequest(res.StatusCode) {
+		s.pooled.CloseIdleConnections() // more bytes may follow on a connection that seems idle
+		return s.classifyInterrupted(ctx, j, fmt.Errorf("status %d ends no request", res.StatusCode))
+	}
 	echoedID := res.Header.Get(s.Dialect.RequestIDHeader)
 	if !s.matchesRequest(j, echoedID) {
 		return s.classifyInterrupted(ctx, j, errors.New("response names another request"))
--- a/internal/messenger/call.go
+++ b/internal/messenger/call.go
@@ -94,6 +94,10 @@
 	Body []byte
 }
 
+// EndsRequest reports whether a response with the given status ends its request.
+// Interim responses do not, and RFC 9110 defines no status from 600 on.
+func EndsRequest(status int) bool { return status >= 200 && status < 600 }
+
 // Fence asks an exit node whether an attempt has arrived. If it has not, the
 // exit node refuses it from then on.
 type Fence struct {
