Logs tell which response waits for another one of its connection

No line told whether the response waited for an earlier one of its connection or the write itself was blocked.

New: 'response-held' when a response that is ready must wait, 'request-dropped' for each request that a stopping node leaves without an answer, with the number of earlier ones on its connection and whether its response was ready, and the caller's end of the connection in these lines and in those of the end of a request. No change of behaviour.

--- a/internal/entryhandler/entryhandler.go
+++ b/internal/entryhandler/entryhandler.go
@@ -174,13 +174,13 @@
 	h.Count(code, took)
 	if err == nil {
 		h.Tracer.Add(tracer.Event{
-			Kind: "request-answered", Request: x.ExternalID, Workspace: x.WorkspaceName(), Target: x.Target,
+			Kind: "request-answered", Request: x.ExternalID, Conn: req.RemoteAddr, Workspace: x.WorkspaceName(), Target: x.Target,
 			Status: x.Status, Took: tracer.Millis(took), Detail: x.Route.Name, Routine: true,
 		})
 		return
 	}
 	h.Tracer.Add(tracer.Event{
-		Kind: "request-refused", Request: x.ExternalID, Workspace: x.WorkspaceName(), Code: int(code), Took: tracer.Millis(took),
+		Kind: "request-refused", Request: x.ExternalID, Conn: req.RemoteAddr, Workspace: x.WorkspaceName(), Code: int(code), Took: tracer.Millis(took),
 		Detail: coder.Of(err).Error(),
 	})
 	if x.headWritten {
@@ -191,6 +191,16 @@
 	h.refuse(w, coder.Of(err))
 }
 
+// traceIfHeld records that a response is ready and must wait for those to earlier
+// requests of its connection.
+func (h *Handler) traceIfHeld(x *Exchange) {
+	if w, ok := x.Writer.(interface{ Held() bool }); ok && w.Held() {
+		h.Tracer.Add(tracer.Event{
+			Kind: "response-held", Request: x.ExternalID, Conn: x.Request.RemoteAddr, Target: x.Target, Status: x.Status, Routine: true,
+		})
+	}
+}
+
 // Idempotent reports whether a request is idempotent. Only then may it run
 // before earlier requests of its connection are answered: when one of those
 // closes the connection, the caller sends the request again.
--- a/internal/entryhandler/filter.go
+++ b/internal/entryhandler/filter.go
@@ -235,6 +235,7 @@
 	} else if response.Complete {
 		header.Set("Content-Length", strconv.Itoa(len(response.Buffered)))
 	}
+	h.traceIfHeld(x)
 	x.headWritten = true
 	x.Writer.WriteHeader(response.Head.Status)
 	if _, err := x.Writer.Write(response.Buffered); err != nil && len(response.Buffered) > 0 {
--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -45,8 +46,9 @@
 	slots chan struct{}
 
 	mu sync.Mutex
-	// inFlight is the number of requests that were read but not answered yet.
-	inFlight int
+	// unanswered are the requests that were read but not answered yet, in the
+	// order in which they came.
+	unanswered []*responseWriter
 	// reading is true while a request is being read.
 	reading bool
 	// lastDone is closed when the response to the most recently read request is
@@ -89,7 +91,7 @@
 func (k *conn) idle() bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.inFlight == 0 && !k.reading
+	return len(k.unanswered) == 0 && !k.reading
 }
 
 // serve reads requests until the connection ends. When the caller closes it,
@@ -199,7 +201,7 @@
 		_ = k.netConn.SetReadDeadline(time.Now())
 		return
 	}
-	if k.inFlight > 0 {
+	if len(k.unanswered) > 0 {
 		_ = k.netConn.SetReadDeadline(time.Time{})
 		return
 	}
@@ -290,7 +292,7 @@
 	}
 	w.request = req.WithContext(ctx)
 	k.lastDone = w.done
-	k.inFlight++
+	k.unanswered = append(k.unanswered, w)
 	k.reading = false
 	return w
 }
@@ -304,9 +306,7 @@
 			k.cancel()
 			k.netConn.Close()
 		}
-		k.mu.Lock()
-		k.inFlight--
-		k.mu.Unlock()
+		k.markAnswered(w)
 		close(w.done)
 		<-k.slots
 		k.restartIdleTimeout()
@@ -329,11 +329,29 @@
 	w.finish()
 }
 
+// markAnswered removes a request whose response was written or abandoned.
+func (k *conn) markAnswered(w *responseWriter) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.unanswered = slices.DeleteFunc(k.unanswered, func(o *responseWriter) bool { return o == w })
+}
+
+// listUnanswered returns the requests that were read but not answered yet.
+func (k *conn) listUnanswered() []Unanswered {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	out := make([]Unanswered, len(k.unanswered))
+	for i, w := range k.unanswered {
+		out[i] = Unanswered{Request: w.request, Before: i, Held: w.held.Load()}
+	}
+	return out
+}
+
 // restartIdleTimeout sets the idle timeout when no request is in flight.
 func (k *conn) restartIdleTimeout() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.inFlight == 0 && !k.reading && !k.draining {
+	if len(k.unanswered) == 0 && !k.reading && !k.draining {
 		_ = k.netConn.SetReadDeadline(time.Now().Add(positiveOr(k.server.IdleTimeout, DefaultIdleTimeout)))
 	}
 }
@@ -366,6 +384,7 @@
 		defer func() { <-k.slots }()
 		http.Error(w, reason, status)
 		w.finish()
+		k.markAnswered(w)
 		close(w.done)
 	}()
 }
--- a/internal/httpserver/httpserver.go
+++ b/internal/httpserver/httpserver.go
@@ -55,6 +55,16 @@
 	closed bool
 }
 
+// Unanswered is a request that was read but not answered yet.
+type Unanswered struct {
+	Request *http.Request
+	// Before is the number of earlier requests of its connection that are not
+	// answered yet. Their responses come first.
+	Before int
+	// Held is true if its response is ready and waits for them.
+	Held bool
+}
+
 func positiveOr[T int | time.Duration](v, fallback T) T {
 	if v > 0 {
 		return v
@@ -110,6 +120,17 @@
 	return len(s.conns)
 }
 
+// Unanswered returns the requests that were read but not answered yet.
+func (s *Server) Unanswered() []Unanswered {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []Unanswered
+	for k := range s.conns {
+		out = append(out, k.listUnanswered()...)
+	}
+	return out
+}
+
 // Shutdown closes each connection once its requests are answered. It returns
 // nil when all connections are closed, or the error of ctx when that ends first.
 func (s *Server) Shutdown(ctx context.Context) error {
--- a/internal/httpserver/writer.go
+++ b/internal/httpserver/writer.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 )
 
@@ -25,6 +26,9 @@
 	// truncated when the response is incomplete.
 	close, truncated bool
 
+	// held is true while a response that is ready waits for its turn.
+	held atomic.Bool
+
 	headWritten, chunked bool
 	status               int
 	// remaining is the number of body bytes still to be written, or -1 when the
@@ -44,6 +48,17 @@
 	}
 }
 
+// Held reports whether responses to earlier requests of the connection must be
+// written before this one.
+func (w *responseWriter) Held() bool {
+	select {
+	case <-w.previousDone:
+		return false
+	default:
+		return true
+	}
+}
+
 // SetReadDeadline sets the deadline for reading a streaming request body. It
 // does nothing for a buffered one.
 func (w *responseWriter) SetReadDeadline(t time.Time) error {
@@ -58,7 +73,9 @@
 	if w.headWritten {
 		return
 	}
+	w.held.Store(w.Held())
 	w.awaitTurn()
+	w.held.Store(false)
 	w.headWritten, w.status = true, status
 	w.setFraming()
 	_ = w.conn.netConn.SetWriteDeadline(time.Now().Add(writeTimeout))
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/zinniaproxy/zinniaproxy/internal/httpserver"
+	"github.com/zinniaproxy/zinniaproxy/internal/tracer"
 )
 
 // auxServer is the admin server or one of Platform.ExtraServers.
@@ -135,6 +136,7 @@
 	_ = callers.listener.Close()
 	callers.awaitDisconnects(min(maxDisconnectWait, remaining()/disconnectWaitDivisor))
 	err := callers.shutdown(remaining)
+	n.traceUnanswered(callers.server.Unanswered())
 	waitForHandover()
 	n.Drainer.FinishTimeout = remaining()
 	if unfinished := n.Drainer.Finish(ctx, func() bool { return false }); unfinished > 0 {
@@ -147,6 +149,21 @@
 	return err
 }
 
+// traceUnanswered records the requests that end without a response, since their
+// connections close when the node stops.
+func (n *Node) traceUnanswered(requests []httpserver.Unanswered) {
+	for _, u := range requests {
+		detail := "not answered"
+		if u.Held {
+			detail = "the response is ready"
+		}
+		n.Tracer.Add(tracer.Event{
+			Kind: "request-dropped", Request: u.Request.Header.Get(n.Platform.dialect().RequestIDHeader), Conn: u.Request.RemoteAddr,
+			Queue: u.Before, Detail: detail,
+		})
+	}
+}
+
 // lastStopSignal returns when the node last received a stop signal. Each
 // further signal restarts the time allowed for the stop.
 func (n *Node) lastStopSignal(first time.Time) time.Time {
--- a/internal/tracer/tracer.go
+++ b/internal/tracer/tracer.go
@@ -25,6 +25,9 @@
 	Kind string `json:"kind"`
 	// Request is the ID of a request.
 	Request string `json:"request,omitempty"`
+	// Conn is the address of the caller's end of the connection that the request
+	// came on.
+	Conn string `json:"conn,omitempty"`
 	// Target is the name of a target.
 	Target string `json:"target,omitempty"`
 	// Workspace is the name of a workspace.
