A stopping node refuses requests that may outlast it

Cause: Node.shutdown serves idle connections for linger and a quarter of the time that is left, whatever a request may take. Nothing on the path of a request knew when the process ends.

Change: the drainer has the schedule of the stop. 3 s after the stop signal (half of grace if that is shorter, linger if that is longer) the entry refuses what may outlast the node as not run, with code 501; what times out before the end is served. The check is a filter, so it holds for every request of every connection, whatever keeps that open.

--- a/internal/drainer/drainer.go
+++ b/internal/drainer/drainer.go
@@ -46,6 +46,10 @@
 	// Keep is for how long the targets of a stopping node stay in use before their
 	// notice begins.
 	Keep time.Duration
+	// Schedule returns, for a node that began to stop at a time, until when it
+	// accepts requests that may outlast it, and when it ends. Nil means that it
+	// waits for all requests.
+	Schedule func(began time.Time) (acceptUntil, end time.Time)
 	// Targets returns the targets on this VM.
 	Targets func() []messenger.Target
 	// CentreOut reports whether the node's data centre is out of service.
@@ -139,6 +143,21 @@
 	return !d.stoppingSince.IsZero()
 }
 
+// AdmitRequest admits a caller's request with a deadline, or refuses it before it
+// is run, because the node is about to end and the request may outlast it.
+func (d *Drainer) AdmitRequest(deadline time.Time) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.stoppingSince.IsZero() || d.Schedule == nil {
+		return nil
+	}
+	acceptUntil, end := d.Schedule(d.stoppingSince)
+	if time.Now().Before(acceptUntil) || !deadline.After(end) {
+		return nil
+	}
+	return coder.New(coder.NodeLeaving, "the request may outlast the node").WithAfter(retryAfter)
+}
+
 // TargetsLeave reports whether the targets leave because the node is stopping.
 func (d *Drainer) TargetsLeave() bool {
 	d.mu.Lock()
--- a/internal/entryhandler/entryhandler.go
+++ b/internal/entryhandler/entryhandler.go
@@ -122,6 +122,9 @@
 	ConfigurationTimeout time.Duration
 	// Leaving reports whether the node is stopping.
 	Leaving func() bool
+	// AdmitWhileStopping refuses a request with the given deadline if the node is
+	// stopping and the request may outlast it. Nil admits every request.
+	AdmitWhileStopping func(deadline time.Time) error
 	// KeysCurrent reports whether the node's knowledge of valid keys is current.
 	KeysCurrent func() bool
 	// Limit counts one request against a workspace's rate and burst, or returns
@@ -144,7 +147,7 @@
 
 // Filters returns the filters of a request in the order in which they run.
 func (h *Handler) Filters() []Filter {
-	return []Filter{h.admit, h.matchRoute, h.setDeadline, h.authenticate, h.limitRate, h.readBody, h.respond}
+	return []Filter{h.admit, h.matchRoute, h.setDeadline, h.refuseIfStopping, h.authenticate, h.limitRate, h.readBody, h.respond}
 }
 
 // Chain returns a step that runs the filters in order.
--- a/internal/entryhandler/filter.go
+++ b/internal/entryhandler/filter.go
@@ -128,6 +128,16 @@
 	return next(ctx, x)
 }
 
+// refuseIfStopping refuses a request that may outlast this node.
+func (h *Handler) refuseIfStopping(ctx context.Context, x *Exchange, next Step) error {
+	if h.AdmitWhileStopping != nil {
+		if err := h.AdmitWhileStopping(x.Deadline); err != nil {
+			return err
+		}
+	}
+	return next(ctx, x)
+}
+
 // authenticate removes the key from the request and finds its workspace. Later
 // filters see no header field that contains the key.
 func (h *Handler) authenticate(ctx context.Context, x *Exchange, next Step) error {
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -63,9 +63,9 @@
 	crashTimes []time.Time
 	// sharedRates starts nodes with settingsloader.RatesShared.
 	sharedRates bool
-	// notice, linger and keep are settings of the nodes.
-	notice, linger, keep float64
-	cleanups             []func()
+	// notice, linger, keep and grace are settings of the nodes.
+	notice, linger, keep, grace float64
+	cleanups                    []func()
 	// idempotencyKey is sent with the next calls unless empty.
 	idempotencyKey string
 	// log receives the log lines of nodes that start after it is set. Nil drops
@@ -121,7 +121,7 @@
 		Name: name, Centre: centre, Region: "test", Address: name,
 		Callers: name + ":80", Link: name + ":81", Admin: name + ":82", Secret: "secret",
 	}
-	s.Notice, s.Linger, s.Keep = f.notice, f.linger, f.keep
+	s.Notice, s.Linger, s.Keep, s.Grace = f.notice, f.linger, f.keep, f.grace
 	if f.sharedRates {
 		s.Rates = settingsloader.RatesShared
 	}
--- a/internal/node/provide.go
+++ b/internal/node/provide.go
@@ -127,6 +127,7 @@
 		Node: s.Name, Epoch: uint64(e), Index: cfg.Index, Tracer: t, Service: s.Service, Dialect: p.dialect(),
 		ConfigurationTimeout: configTimeout,
 		Leaving:              dr.Leaving,
+		AdmitWhileStopping:   dr.AdmitRequest,
 		KeysCurrent:          a.MayAcceptKeys,
 		Limit:                limit,
 		Entry:                entry,
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -123,12 +123,10 @@
 func (n *Node) shutdown(callers *callerServer, others []*auxServer) error {
 	ctx := context.Background()
 	s := n.Platform.settings(n.Settings)
-	started, killTimeout := time.Now(), time.Duration(s.Grace*float64(time.Second))
-	if killTimeout == 0 {
-		killTimeout = defaultKillTimeout
-	}
+	started := time.Now()
 	remaining := func() time.Duration {
-		return max(killTimeout-exitReserve-time.Since(n.lastStopSignal(started)), time.Millisecond)
+		_, end := n.Drainer.Schedule(started)
+		return max(time.Until(end), time.Millisecond)
 	}
 	n.Drainer.Begin(ctx)
 	waitForHandover := n.startHandover(ctx)
@@ -164,18 +162,6 @@
 	}
 }
 
-// lastStopSignal returns when the node last received a stop signal. Each
-// further signal restarts the time allowed for the stop.
-func (n *Node) lastStopSignal(first time.Time) time.Time {
-	if n.Platform.LiveSettings == nil {
-		return first
-	}
-	if t := n.Platform.LiveSettings.LastStopSignal(); t.After(first) {
-		return t
-	}
-	return first
-}
-
 // millisOrDefault converts milliseconds to a duration; 0 means the fallback.
 func millisOrDefault(ms float64, fallback time.Duration) time.Duration {
 	if ms == 0 {
--- a/internal/node/wire_gen.go
+++ b/internal/node/wire_gen.go
@@ -30,7 +30,7 @@
 	noter := newNoter()
 	picker := newPicker(s, configurer, gossiper, prober, noter, tracer)
 	retrier := newRetrier(s, p, prober, picker)
-	drainer := newDrainer(s, configurer, registrar, tracer)
+	drainer := newDrainer(s, p, configurer, registrar, tracer)
 	recorder := newIdempotencyRecorder(s, p, prober, linker, tracer)
 	quarantiner := newQuarantiner(s, p, prober, linker, tracer)
 	watcher := newCrashWatcher(p, quarantiner, tracer)
