A stopping node delivers responses that wait for earlier ones

Found beside it, same class: a response that closed the connection because the node leaves did so while requests behind it ran, whose responses no caller reads; a request that may not be repeated ran after such a response though the caller sends it again; a connection could be closed as idle while a request on it was being read.

Change, in httpserver: once the server leaves a request runs only after those before it, and never behind a response that closes the connection; only the response to the last request that runs closes it. At the end of the stop the requests that are left are canceled and get a response (302 cut), so that those behind them are written. An idle connection is closed by its reader, never under a request.

--- a/internal/entryhandler/entryhandler.go
+++ b/internal/entryhandler/entryhandler.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"strconv"
 	"sync/atomic"
@@ -11,6 +12,7 @@
 
 	"github.com/zinniaproxy/zinniaproxy/internal/attemptsender"
 	"github.com/zinniaproxy/zinniaproxy/internal/exithandler"
+	"github.com/zinniaproxy/zinniaproxy/internal/httpserver"
 	"github.com/zinniaproxy/zinniaproxy/internal/indexer"
 	"github.com/zinniaproxy/zinniaproxy/internal/messenger"
 	"github.com/zinniaproxy/zinniaproxy/internal/tracer"
@@ -169,6 +171,9 @@
 	}
 	w.Header().Set(h.Dialect.RequestIDHeader, x.ExternalID)
 	err := Chain(h.Filters())(req.Context(), x)
+	if err != nil && coder.Of(err).Code == coder.Canceled && errors.Is(context.Cause(req.Context()), httpserver.ErrAborted) {
+		err = coder.New(coder.Cut, "this node ends")
+	}
 	code := coder.OK
 	if err != nil {
 		code = coder.Of(err).Code
--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -51,11 +51,19 @@
 	unanswered []*responseWriter
 	// reading is true while a request is being read.
 	reading bool
+	// received is the number of requests that were read.
+	received int
 	// lastDone is closed when the response to the most recently read request is
 	// written.
 	lastDone chan struct{}
 	// draining is true when no further request will be read.
 	draining bool
+	// begun is the number of the latest request that began to run.
+	begun int
+	// closing is true when the response that closes the connection is being
+	// written. No further request may run then: the caller sends those behind it
+	// again.
+	closing bool
 }
 
 // limitedReader bounds how many bytes of a request's head are read.
@@ -283,7 +291,7 @@
 
 // enqueue returns a writer whose response follows those to all earlier requests.
 func (k *conn) enqueue(req *http.Request, streaming bool) *responseWriter {
-	ctx, cancel := context.WithCancel(k.ctx)
+	ctx, cancel := context.WithCancelCause(k.ctx)
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	w := &responseWriter{
@@ -292,6 +300,8 @@
 	}
 	w.request = req.WithContext(ctx)
 	k.lastDone = w.done
+	k.received++
+	w.number = k.received
 	k.unanswered = append(k.unanswered, w)
 	k.reading = false
 	return w
@@ -300,7 +310,7 @@
 // run calls the handler, ends its response and lets the next one be written.
 func (k *conn) run(w *responseWriter) {
 	defer func() {
-		w.cancel()
+		w.cancel(nil)
 		if w.truncated {
 			// Close before done is closed: no response may follow a truncated one.
 			k.cancel()
@@ -320,15 +330,62 @@
 			}
 		}
 	}()
-	if k.server.RunConcurrently == nil || !k.server.RunConcurrently(w.request) {
+	if !k.server.runsConcurrently(w.request) {
 		w.awaitTurn()
 	}
-	if w.request.Context().Err() == nil {
+	if !k.begin(w) {
+		w.awaitTurn()
+		return
+	}
+	if err := context.Cause(w.request.Context()); err == nil || errors.Is(err, ErrAborted) {
 		k.server.Handler.ServeHTTP(w, w.request)
 	}
 	w.finish()
 }
 
+// begin reports whether a request may run.
+func (k *conn) begin(w *responseWriter) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.closing {
+		return false
+	}
+	k.begun = max(k.begun, w.number)
+	return true
+}
+
+// closeAfter makes a response the last one of the connection, unless a later
+// request has begun to run, and reports whether it did.
+func (k *conn) closeAfter(w *responseWriter) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.begun > w.number {
+		return false
+	}
+	k.closing, k.draining = true, true
+	return true
+}
+
+// closeIfIdle ends the reading of an idle connection, so that it closes. A request
+// that arrives at the same moment is either read and answered or not read.
+func (k *conn) closeIfIdle() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if len(k.unanswered) == 0 && !k.reading && !k.draining {
+		k.draining = true
+		_ = k.netConn.SetReadDeadline(time.Now()) // unblocks the pending read
+	}
+}
+
+// abort cancels the unanswered requests with ErrAborted.
+func (k *conn) abort() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, w := range k.unanswered {
+		w.cancel(ErrAborted)
+	}
+}
+
 // markAnswered removes a request whose response was written or abandoned.
 func (k *conn) markAnswered(w *responseWriter) {
 	k.mu.Lock()
--- a/internal/httpserver/httpserver.go
+++ b/internal/httpserver/httpserver.go
@@ -7,8 +7,10 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 )
@@ -34,6 +36,10 @@
 	drainPollInterval = 10 * time.Millisecond
 )
 
+// ErrAborted is the cause with which Abort cancels requests. Their handlers may
+// still respond.
+var ErrAborted = errors.New("httpserver: the server ends before the response is complete")
+
 // Server serves HTTP/1.1 requests of callers. Set the exported fields before
 // Serve.
 type Server struct {
@@ -41,8 +47,8 @@
 	// RunConcurrently reports whether a pipelined request may run before the
 	// earlier requests of its connection are answered. Nil means that none may.
 	RunConcurrently func(*http.Request) bool
-	// Leaving reports whether connections must be closed once their requests
-	// are answered. Nil means never.
+	// Leaving reports whether connections must be closed as soon as the requests
+	// that run are answered. Requests behind them do not run then. Nil means never.
 	Leaving func() bool
 	// MaxPipelined, HeadTimeout, IdleTimeout and MaxHeadBytes (bytes) override
 	// the defaults when above 0.
@@ -81,6 +87,13 @@
 	return s.closed
 }
 
+// runsConcurrently reports whether a request may run before the earlier requests of
+// its connection are answered. None may once the server shuts down: its response
+// could wait behind one that does not come before the end.
+func (s *Server) runsConcurrently(r *http.Request) bool {
+	return s.RunConcurrently != nil && !s.shuttingDown() && s.RunConcurrently(r)
+}
+
 // Serve accepts connections until the listener is closed.
 func (s *Server) Serve(ln net.Listener) error {
 	for {
@@ -122,10 +135,8 @@
 
 // Unanswered returns the requests that were read but not answered yet.
 func (s *Server) Unanswered() []Unanswered {
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	var out []Unanswered
-	for k := range s.conns {
+	for _, k := range s.openConns() {
 		out = append(out, k.listUnanswered()...)
 	}
 	return out
@@ -153,15 +164,34 @@
 }
 
 func (s *Server) closeIdle() {
+	for _, k := range s.openConns() {
+		k.closeIfIdle()
+	}
+}
+
+func (s *Server) openConns() []*conn {
 	s.mu.Lock()
-	var idle []*conn
-	for k := range s.conns {
-		if k.idle() {
-			idle = append(idle, k)
+	defer s.mu.Unlock()
+	return slices.Collect(maps.Keys(s.conns))
+}
+
+// Abort cancels all unanswered requests with ErrAborted, so that their handlers
+// respond and the responses behind them are written too. It returns nil when no
+// request is left unanswered, or the error of ctx when that ends first.
+func (s *Server) Abort(ctx context.Context) error {
+	ticker := time.NewTicker(drainPollInterval)
+	defer ticker.Stop()
+	for {
+		for _, k := range s.openConns() {
+			k.abort()
+		}
+		if len(s.Unanswered()) == 0 {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
 		}
-	}
-	s.mu.Unlock()
-	for _, k := range idle {
-		k.netConn.Close()
 	}
 }
--- a/internal/httpserver/writer.go
+++ b/internal/httpserver/writer.go
@@ -18,7 +18,9 @@
 	// previousDone is closed when all earlier responses are written, and done
 	// when this one is.
 	previousDone, done chan struct{}
-	cancel             context.CancelFunc
+	cancel             context.CancelCauseFunc
+	// number counts the requests of the connection from 1.
+	number int
 	// streaming is true when the handler reads the request body from the
 	// connection, and false when the body was buffered.
 	streaming bool
@@ -108,8 +110,8 @@
 	default:
 		w.close = true
 	}
-	if h.Get("Connection") == "close" || w.conn.server.shuttingDown() && w.conn.stopReadingIfLast(w) {
-		w.close = true
+	if !w.close && (h.Get("Connection") == "close" || w.conn.server.shuttingDown()) {
+		w.close = w.conn.closeAfter(w)
 	}
 	h.Del("Connection")
 	if w.close {
@@ -117,18 +119,6 @@
 	}
 }
 
-// stopReadingIfLast sets draining if no later request than the writer's was
-// read or is being read, and reports whether it did.
-func (k *conn) stopReadingIfLast(w *responseWriter) bool {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if k.lastDone != w.done || k.reading {
-		return false
-	}
-	k.draining = true
-	return true
-}
-
 func (w *responseWriter) bodiless() bool {
 	return w.request.Method == http.MethodHead || w.status == http.StatusNoContent ||
 		w.status == http.StatusNotModified || w.status < http.StatusOK
--- a/internal/node/late_request_test.go
+++ b/internal/node/late_request_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -94,3 +95,50 @@
 		})
 	}
 }
+
+// Guards against a response that is ready but waits behind another one of its
+// connection until the node's process ends. The connection is cut when Run returns,
+// as it is when a process ends.
+func TestStoppingNodeDeliversReadyResponses(t *testing.T) {
+	for _, sentBefore := range []time.Duration{-100 * time.Millisecond, 100 * time.Millisecond} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newTestFleet(t, "a", "b")
+			defer f.close()
+			f.notice, f.linger, f.keep, f.grace = 500, 2300, 1300, 6
+			f.configure(strings.ReplaceAll(openFleetJSON, `"deadline": 3000`, `"deadline": 20000`))
+			for i, name := range f.names {
+				f.startNode(name, "one")
+				f.startTarget("t"+name, name, "booking", 9000+i, 100)
+			}
+			time.Sleep(3 * time.Second)
+			c := f.connect("a")
+			send := func() {
+				c.write(t, http.MethodGet, "/stock/1/hang", "")
+				c.write(t, http.MethodGet, "/stock/2/quick", "")
+			}
+			if sentBefore < 0 {
+				send()
+				time.Sleep(-sentBefore)
+			}
+			var stopped sync.WaitGroup
+			stopped.Go(func() {
+				_ = f.nodes["a"].stop()
+				f.network.Kill("a")
+			})
+			if sentBefore > 0 {
+				time.Sleep(sentBefore)
+				send()
+			}
+			began := time.Now()
+			qt.Check(t, c.read(), qt.Equals, "502 code 302")
+			qt.Check(t, time.Since(began) > 5*time.Second, qt.IsTrue)
+			want := "200"
+			if sentBefore > 0 {
+				want = "closed" // it was not passed on, and the first response closes the connection
+			}
+			qt.Check(t, c.read(), qt.Equals, want)
+			stopped.Wait()
+			qt.Check(t, f.countRuns("/stock/2")["/stock/2/quick"], qt.Equals, map[string]int{"200": 1}[want])
+		})
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -50,6 +50,9 @@
 	// exitReserve is the part of that time kept for sending the last responses
 	// and exiting, on a VM that may have a fraction of a core.
 	exitReserve = 250 * time.Millisecond
+	// abortTimeout is the part of exitReserve for responses to requests that are
+	// left.
+	abortTimeout = 150 * time.Millisecond
 	// maxStopAccept bounds how long a stopping node accepts requests that may
 	// outlast it, unless it accepts connections for longer. Callers that ask for
 	// its readiness know by then that it leaves.
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -66,6 +66,14 @@
 	return err
 }
 
+// abort ends the requests that are left, so that each gets a response, and those
+// behind it on its connection get theirs.
+func (cs *callerServer) abort() error {
+	ctx, stop := context.WithTimeout(context.Background(), abortTimeout)
+	defer stop()
+	return cs.server.Abort(ctx)
+}
+
 // serve starts an HTTP server. A later failure is sent to failed.
 func (n *Node) serve(address string, h http.Handler, wg *sync.WaitGroup, failed chan<- error) (*auxServer, error) {
 	ln, err := n.Platform.Listen(address)
@@ -134,6 +142,9 @@
 	_ = callers.listener.Close()
 	callers.awaitDisconnects(min(maxDisconnectWait, remaining()/disconnectWaitDivisor))
 	err := callers.shutdown(remaining)
+	if err != nil {
+		err = errors.Join(err, callers.abort())
+	}
 	n.traceUnanswered(callers.server.Unanswered())
 	waitForHandover()
 	n.Drainer.FinishTimeout = remaining()
