A stopping node writes its last responses to other nodes before it closes its links

Related path of the same class: an exit node counts a call as ended when its response is queued on the link. When that was the last one the node closed its links at once, and what was still queued or half written was dropped; the entry node gave a request that had run an answer of 'cut'.

Change: Linker.Flush waits until the queues are written, at most 500 ms (a node that cannot be reached reads nothing), and the node does so before it closes.

--- a/internal/linker/link.go
+++ b/internal/linker/link.go
@@ -60,6 +60,8 @@
 	queue          []outgoingFrame
 	// queuedBytes is the total size of the payloads in queue.
 	queuedBytes int
+	// writing is true while frames that left the queue are being written.
+	writing bool
 	// lastReceived is when the last frame arrived, lastOpened when this side last
 	// opened a stream.
 	lastReceived, lastOpened time.Time
@@ -120,9 +122,23 @@
 		}
 	}
 	k.queue, k.queuedBytes = k.queue[:0], 0
+	k.writing = true
 	return b
 }
 
+func (k *link) endWriting() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.writing = false
+}
+
+// flushed reports whether all frames that were queued are written.
+func (k *link) flushed() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return len(k.queue) == 0 && !k.writing
+}
+
 func (k *link) writeLoop() {
 	var buf []byte
 	for {
@@ -140,6 +156,7 @@
 			k.closeWith(err)
 			return
 		}
+		k.endWriting()
 		if cap(buf) > maxReusedBufferBytes {
 			buf = nil
 		}
--- a/internal/linker/linker.go
+++ b/internal/linker/linker.go
@@ -12,6 +12,7 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -39,7 +40,8 @@
 	// deadline.
 	DefaultQueryTimeout = 5 * time.Second
 
-	checkInterval = 100 * time.Millisecond
+	checkInterval     = 100 * time.Millisecond
+	flushPollInterval = 5 * time.Millisecond
 	// idleCheckTicks is how many of these intervals lie between two checks of a
 	// link on which no reply is awaited: a node may have hundreds.
 	idleCheckTicks = 10
@@ -164,6 +166,20 @@
 	return links
 }
 
+// Flush waits until all frames that were queued are written, or ctx ends.
+func (l *Linker) Flush(ctx context.Context) error {
+	ticker := time.NewTicker(flushPollInterval)
+	defer ticker.Stop()
+	for slices.ContainsFunc(l.openLinks(), func(k *link) bool { return !k.flushed() }) {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+	return nil
+}
+
 func (l *Linker) closeAll() {
 	l.mu.Lock()
 	l.stopped = true
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -53,6 +53,10 @@
 	// abortTimeout is the part of exitReserve for responses to requests that are
 	// left.
 	abortTimeout = 150 * time.Millisecond
+	// minFlushTimeout is the part of exitReserve for writing to other nodes, and
+	// maxFlushTimeout bounds it: a node that cannot be reached reads nothing.
+	minFlushTimeout = 50 * time.Millisecond
+	maxFlushTimeout = 500 * time.Millisecond
 	// maxStopAccept bounds how long a stopping node accepts requests that may
 	// outlast it, unless it accepts connections for longer. Callers that ask for
 	// its readiness know by then that it leaves.
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -155,9 +155,19 @@
 	for _, as := range others {
 		err = errors.Join(err, as.shutdown(remaining()))
 	}
+	n.flushLinks(max(min(remaining(), maxFlushTimeout), minFlushTimeout))
 	return err
 }
 
+// flushLinks waits until the responses to other nodes are written, or the timeout.
+func (n *Node) flushLinks(timeout time.Duration) {
+	ctx, stop := context.WithTimeout(context.Background(), timeout)
+	defer stop()
+	if err := n.Linker.Flush(ctx); err != nil {
+		n.Platform.Log.Info("stopped with unsent data", "reason", err.Error())
+	}
+}
+
 // traceUnanswered records the requests that end without a response, since their
 // connections close when the node stops.
 func (n *Node) traceUnanswered(requests []httpserver.Unanswered) {
