linker: replies wait for room on a full link

Cause: link.enqueue refused a reply that did not fit the queue with Overloaded, which says "not run", and that went to the entry node as the outcome of a call that had run. The entry node sent the request again.

Change: a piece of a reply waits for room until the query's deadline; then, or when the link ends, its outcome is unknown (cut). The limit of 16 MiB stands; what waits is one piece for each call, and the target is read no further meanwhile. Queries are refused on a full link as before: nothing of them was sent.

--- a/internal/linker/handler.go
+++ b/internal/linker/handler.go
@@ -22,7 +22,7 @@
 
 // Handler replies to one query. ctx ends at the querying side's deadline, counted
 // from when the query was sent, or when that side cancels. send blocks while the
-// reply's flow control window is exhausted. An error is sent as a refusal.
+// reply's flow control window is exhausted or the link's queue is full. An error is sent as a refusal.
 type Handler func(ctx context.Context, q Query, send func(payload []byte, last bool) error) error
 
 // handlerStream is the replying side of one query.
@@ -72,7 +72,7 @@
 	sendData := func(payload []byte, last bool) error {
 		m := data{ID: id, Payload: payload, Sequence: sequence, Last: last}
 		sequence++
-		return k.enqueue(outgoingFrame{kind: kindData, method: q.Method, payload: messenger.Encode(&m)})
+		return k.enqueueReply(ctx, outgoingFrame{kind: kindData, method: q.Method, payload: messenger.Encode(&m)})
 	}
 	err := handler(ctx, q, func(payload []byte, last bool) error {
 		if err := s.window.acquire(ctx, len(payload)); err != nil {
--- a/internal/linker/link.go
+++ b/internal/linker/link.go
@@ -60,6 +60,8 @@
 	queue          []outgoingFrame
 	// queuedBytes is the total size of the payloads in queue.
 	queuedBytes int
+	// room is closed, and replaced, when the queue was emptied.
+	room chan struct{}
 	// writing is true while frames that left the queue are being written.
 	writing bool
 	// lastReceived is when the last frame arrived, lastOpened when this side last
@@ -76,7 +78,7 @@
 	now := time.Now()
 	k := &link{
 		linker: l, peer: peer, conn: conn, reader: reader, dialed: dialed, clockStart: now, lastReceived: now, lastOpened: now,
-		writeReady: make(chan struct{}, 1), done: make(chan struct{}),
+		writeReady: make(chan struct{}, 1), room: make(chan struct{}), done: make(chan struct{}),
 		queryStreams: map[uint64]*Stream{}, handlerStreams: map[uint64]*handlerStream{}, pongs: map[uint64]chan struct{}{},
 		nextID: 2,
 	}
@@ -98,9 +100,46 @@
 	if k.closeErr != nil {
 		return coder.New(coder.NotSent, linkLostPrefix+"to %s: %v", k.peer.Node, k.closeErr)
 	}
-	if k.queuedBytes+len(o.payload) > maxQueuedBytesPerLink {
+	if !k.hasRoom(o) {
 		return coder.New(coder.Overloaded, "link to %s is full", k.peer.Node).WithAfter(overloadRetryAfter)
 	}
+	k.push(o)
+	return nil
+}
+
+// enqueueReply queues a frame of a reply. While the queue is full it waits: the
+// query may have run, so that the reply can be neither dropped nor replaced by a
+// refusal which says that it did not.
+func (k *link) enqueueReply(ctx context.Context, o outgoingFrame) error {
+	for {
+		k.mu.Lock()
+		if k.closeErr != nil {
+			defer k.mu.Unlock()
+			return coder.New(coder.Cut, linkLostPrefix+"to %s: %v", k.peer.Node, k.closeErr)
+		}
+		if k.hasRoom(o) {
+			defer k.mu.Unlock()
+			k.push(o)
+			return nil
+		}
+		room := k.room
+		k.mu.Unlock()
+		select {
+		case <-room:
+		case <-k.done:
+		case <-ctx.Done():
+			return coder.New(coder.Cut, "link to %s is full", k.peer.Node)
+		}
+	}
+}
+
+// hasRoom reports whether the queue has room for a frame. The caller holds the lock.
+func (k *link) hasRoom(o outgoingFrame) bool {
+	return k.queuedBytes+len(o.payload) <= maxQueuedBytesPerLink
+}
+
+// push queues a frame. The caller holds the lock.
+func (k *link) push(o outgoingFrame) {
 	k.linker.traffic.addSent(o.method, int64(len(o.payload)+framer.HeaderBytes), k.crossing)
 	k.queue = append(k.queue, o)
 	k.queuedBytes += len(o.payload)
@@ -108,7 +147,6 @@
 	case k.writeReady <- struct{}{}:
 	default:
 	}
-	return nil
 }
 
 // drainQueue appends all queued frames to b and marks their streams as started.
@@ -123,6 +161,8 @@
 	}
 	k.queue, k.queuedBytes = k.queue[:0], 0
 	k.writing = true
+	close(k.room)
+	k.room = make(chan struct{})
 	return b
 }
 
--- a/internal/linker/linker.go
+++ b/internal/linker/linker.go
@@ -40,11 +40,11 @@
 	// deadline.
 	DefaultQueryTimeout = 5 * time.Second
 
-	checkInterval     = 100 * time.Millisecond
-	flushPollInterval = 5 * time.Millisecond
+	checkInterval = 100 * time.Millisecond
 	// idleCheckTicks is how many of these intervals lie between two checks of a
 	// link on which no reply is awaited: a node may have hundreds.
-	idleCheckTicks = 10
+	idleCheckTicks    = 10
+	flushPollInterval = 5 * time.Millisecond
 	// dialTimeout bounds the dial of a link. It allows a few round trips between
 	// regions, and leaves a waiting query time to be sent to another node.
 	dialTimeout              = 400 * time.Millisecond
