noter: what an instance stated ends with its process

Cause: the notes were keyed by the instance alone, since a node that has just started finds its target by a health check, which does not tell the start.

Change: targets carry the announced start beside the instance, and a note knows the start of its process. A note holds for a target whose start is the same or unknown; a late response of the earlier process is ignored.

--- a/internal/messenger/target.go
+++ b/internal/messenger/target.go
@@ -71,8 +71,8 @@
 	Epoch uint64
 	// Instance is the name that the target announces for its process, if any.
 	Instance string
-	// Start is when the target's process started, as it announces, if it
-	// announces no instance. 0 if it announces neither.
+	// Start is when the target's process started, as it announces, or 0. A process
+	// may have the instance of an earlier one.
 	Start uint64
 	// Slots is the number of calls that it can run concurrently when warm.
 	Slots int
--- a/internal/noter/noter.go
+++ b/internal/noter/noter.go
@@ -29,11 +29,14 @@
 
 type note struct {
 	statement messenger.Statement
+	// start is that of the target's process, 0 if it was not known.
+	start     uint64
 	expiresAt time.Time
 }
 
 // process returns a name of a target's process that stays the same when the node
-// beside it restarts.
+// beside it restarts. An instance that starts again may have the same name; its
+// notes are told apart by their start.
 func process(t messenger.Target) string {
 	if t.Instance != "" {
 		return t.Instance
@@ -46,7 +49,16 @@
 	now, name := time.Now(), process(t)
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	st.Leaving = st.Leaving || n.notes[name].statement.Leaving
+	old, start := n.notes[name], t.Start
+	switch {
+	case isOtherProcess(old, t) && start < old.start:
+		return // of a process that has ended
+	case isOtherProcess(old, t):
+		old = note{}
+	case start == 0:
+		start = old.start
+	}
+	st.Leaving = st.Leaving || old.statement.Leaving
 	if st == (messenger.Statement{}) {
 		delete(n.notes, name)
 		return
@@ -54,10 +66,16 @@
 	if n.notes == nil {
 		n.notes = map[string]note{}
 	}
-	n.notes[name] = note{st, now.Add(retention)}
+	n.notes[name] = note{st, start, now.Add(retention)}
 	n.sweep(now)
 }
 
+// isOtherProcess reports whether a note is certainly of another process than the
+// target's.
+func isOtherProcess(v note, t messenger.Target) bool {
+	return v.start != 0 && t.Start != 0 && v.start != t.Start
+}
+
 // sweep drops old notes. The caller holds the lock.
 func (n *Noter) sweep(now time.Time) {
 	if now.Sub(n.lastSweep) < minSweepInterval {
@@ -80,7 +98,7 @@
 		return messenger.Statement{}
 	}
 	v := n.notes[process(t)]
-	if time.Now().After(v.expiresAt) {
+	if isOtherProcess(v, t) || time.Now().After(v.expiresAt) {
 		return messenger.Statement{}
 	}
 	return v.statement
--- a/internal/noter/noter_test.go
+++ b/internal/noter/noter_test.go
@@ -46,3 +46,23 @@
 	n.Record(replaced, messenger.Statement{})
 	qt.Check(t, n.notes, qt.HasLen, 1)
 }
+
+// Guards against a target without calls for two minutes: its process stated that it
+// leaves and was started again under the same instance.
+func TestNotesEndWithTheProcessOfAnInstance(t *testing.T) {
+	var n Noter
+	target := messenger.Target{Name: "s@a:1", Instance: "i-1", Epoch: 1, Start: 5}
+	restarted, unknown := target, target
+	restarted.Epoch, restarted.Start = 2, 6
+	unknown.Start = 0
+	n.Record(target, messenger.Statement{Leaving: true})
+	qt.Check(t, n.Leaving(restarted), qt.IsFalse)
+	qt.Check(t, n.Leaving(unknown), qt.IsTrue)
+	n.Record(restarted, messenger.Statement{Limited: true, Rate: 2})
+	n.Record(target, messenger.Statement{Leaving: true}) // a late response of the first process
+	qt.Check(t, n.Statement(restarted), qt.Equals, messenger.Statement{Limited: true, Rate: 2})
+	n.Record(unknown, messenger.Statement{Limited: true, Rate: 3})
+	qt.Check(t, n.Statement(restarted), qt.Equals, messenger.Statement{Limited: true, Rate: 3})
+	n.Record(restarted, messenger.Statement{})
+	qt.Check(t, n.notes, qt.HasLen, 0)
+}
--- a/internal/targetregistrar/targetregistrar.go
+++ b/internal/targetregistrar/targetregistrar.go
@@ -123,10 +123,7 @@
 	}
 	t := messenger.Target{
 		Name: name, Service: a.Service, Address: a.Address, Node: r.Node, Centre: r.Centre,
-		Epoch: old.target.Epoch, Instance: a.Instance, Slots: slots, State: a.State,
-	}
-	if a.Instance == "" {
-		t.Start = a.Epoch
+		Epoch: old.target.Epoch, Instance: a.Instance, Start: a.Epoch, Slots: slots, State: a.State,
 	}
 	if !known || !old.sameProcess(a) {
 		t.Epoch = r.nextEpoch()
