httpserver: a caller that leaves is noticed while its streamed request runs

Cause: conn.start ran a request whose body is read from the connection in the goroutine that reads the connection, so that nobody read it, or saw its end, until the request had ended.

Change: such a request runs like any other, and the connection is read on once the handler has read the body to its end. A body that the handler leaves is drained after the request, as before.

--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -257,8 +257,8 @@
 }
 
 // start runs a request and reports whether the next may be read. A body of known,
-// short length is buffered first, and its request runs concurrently with later
-// ones. Any other request ends before the next is read.
+// short length is buffered first. Any other is read by the handler, and the next
+// request once its end was read.
 func (k *conn) start(req *http.Request) bool {
 	req.RemoteAddr = k.netConn.RemoteAddr().String()
 	buffered := req.ContentLength >= 0 && req.ContentLength <= maxBufferedBodyBytes && req.Header.Get("Expect") == ""
@@ -276,27 +276,37 @@
 	case <-k.ctx.Done():
 		return false
 	}
-	w := k.enqueue(req, !buffered)
+	var body *streamedBody
+	if !buffered {
+		body = &streamedBody{ReadCloser: req.Body, ended: make(chan struct{})}
+		req.Body = body
+	}
+	w := k.enqueue(req, body)
 	if req.Header.Get("Expect") != "" {
 		w.request.Body = &continueBody{ReadCloser: req.Body, writer: w}
 	}
+	last := w.close // read before run, which may change it
+	go k.run(w)
 	if buffered {
-		last := w.close // read before run, which may change it
-		go k.run(w)
 		return !last
 	}
-	k.run(w)
-	return !w.close && k.ctx.Err() == nil && w.drainBody()
+	select {
+	case <-body.ended:
+		return !last && body.complete
+	case <-w.done:
+		return !w.close && k.ctx.Err() == nil && w.drainBody()
+	}
 }
 
 // enqueue returns a writer whose response follows those to all earlier requests.
-func (k *conn) enqueue(req *http.Request, streaming bool) *responseWriter {
+// body is nil if the request's body was buffered.
+func (k *conn) enqueue(req *http.Request, body *streamedBody) *responseWriter {
 	ctx, cancel := context.WithCancelCause(k.ctx)
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	w := &responseWriter{
 		conn: k, header: http.Header{}, previousDone: k.lastDone, done: make(chan struct{}), cancel: cancel,
-		streaming: streaming, close: req.Close || !req.ProtoAtLeast(1, 1),
+		body: body, close: req.Close || !req.ProtoAtLeast(1, 1),
 	}
 	w.request = req.WithContext(ctx)
 	k.lastDone = w.done
@@ -434,7 +444,7 @@
 // refuse answers an invalid request after all earlier ones and then closes the
 // connection.
 func (k *conn) refuse(status int, reason string) {
-	w := k.enqueue(&http.Request{Method: http.MethodGet, ProtoMajor: 1, ProtoMinor: 1, Header: http.Header{}}, false)
+	w := k.enqueue(&http.Request{Method: http.MethodGet, ProtoMajor: 1, ProtoMinor: 1, Header: http.Header{}}, nil)
 	w.close = true
 	k.slots <- struct{}{}
 	go func() {
--- a/internal/httpserver/writer.go
+++ b/internal/httpserver/writer.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -21,9 +22,9 @@
 	cancel             context.CancelCauseFunc
 	// number counts the requests of the connection from 1.
 	number int
-	// streaming is true when the handler reads the request body from the
-	// connection, and false when the body was buffered.
-	streaming bool
+	// body is the request body that the handler reads from the connection, nil
+	// when the body was buffered.
+	body *streamedBody
 	// close is true when the connection closes after this response, and
 	// truncated when the response is incomplete.
 	close, truncated bool
@@ -61,13 +62,18 @@
 	}
 }
 
-// SetReadDeadline sets the deadline for reading a streaming request body. It
-// does nothing for a buffered one.
+// SetReadDeadline sets the deadline for reading the request body. It does nothing
+// once the body was read.
 func (w *responseWriter) SetReadDeadline(t time.Time) error {
-	if !w.streaming {
+	if w.body == nil {
 		return nil
 	}
-	return w.conn.netConn.SetReadDeadline(t)
+	select {
+	case <-w.body.ended:
+		return nil
+	default:
+		return w.conn.netConn.SetReadDeadline(t)
+	}
 }
 
 // WriteHeader implements http.ResponseWriter.
@@ -195,6 +201,28 @@
 	return err == io.EOF && n < maxBufferedBodyBytes //nolint:errorlint // io.Copy returns it bare
 }
 
+// streamedBody is a request body that is read from the connection.
+type streamedBody struct {
+	io.ReadCloser
+	// ended is closed when the body was read to its end or an error. Then complete
+	// tells whether the next request may be read.
+	ended    chan struct{}
+	once     sync.Once
+	complete bool
+}
+
+// Read reads from the body and detects its end.
+func (b *streamedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err != nil {
+		b.once.Do(func() {
+			b.complete = err == io.EOF //nolint:errorlint // the end of the body comes bare
+			close(b.ended)
+		})
+	}
+	return n, err
+}
+
 // continueBody is the body of a request with "Expect: 100-continue".
 type continueBody struct {
 	io.ReadCloser
