targetregistrar: an announcement of an ended process is ignored on our own interface too

A node that was paused takes the announcements that wait for it in any order; the 'warm' of the target's ended process came after the 'cold' of the next one.

Cause: outdated compared the starts of processes only where announcements name an instance, so never on our own interface.

Change: without an instance an announcement with an earlier start is outdated too.

--- a/internal/targetregistrar/targetregistrar.go
+++ b/internal/targetregistrar/targetregistrar.go
@@ -143,7 +143,7 @@
 // the withdrawal of its target. The caller holds the lock.
 func (r *Registrar) outdated(old registration, known bool, a Announcement) bool {
 	if a.Instance == "" {
-		return false
+		return known && old.target.Instance == "" && a.Epoch > 0 && a.Epoch < old.announcedEpoch
 	}
 	if w, withdrawn := r.withdrawals[a.Instance]; withdrawn && a.Epoch <= w.epoch {
 		return true
--- a/internal/targetregistrar/targetregistrar_test.go
+++ b/internal/targetregistrar/targetregistrar_test.go
@@ -59,6 +59,27 @@
 	}
 }
 
+// Guards against calls above the limit of a cold target: a paused node takes the
+// announcements that wait for it in any order, among them one of the target's ended
+// process that says warm.
+func TestAnnouncementOfAnEarlierProcessIsIgnored(t *testing.T) {
+	for _, instance := range []string{"", "i-1"} {
+		earlier := Announcement{Service: "s", Address: "127.0.0.1:9001", State: messenger.Warm, TTL: 3 * time.Second, Instance: instance, Epoch: 5, Sequence: 9}
+		later := earlier
+		later.State, later.Epoch, later.Sequence = messenger.Cold, 6, 1
+		for _, order := range [][]Announcement{{earlier, later}, {later, earlier}, {later, earlier, later}} {
+			r := newTestRegistrar()
+			for _, a := range order {
+				qt.Assert(t, r.Announce(a), qt.IsNil)
+			}
+			got, ok := r.Lookup("s@127.0.0.1:9001")
+			qt.Assert(t, ok, qt.IsTrue)
+			qt.Check(t, got.State, qt.Equals, messenger.Cold)
+			qt.Check(t, got.Start, qt.Equals, uint64(6))
+		}
+	}
+}
+
 func newTestRegistrar() *Registrar {
 	return &Registrar{
 		Node: "n", Centre: "c", IP: "127.0.0.1",
