--- a/internal/httpserver/writer.go
+++ b/internal/httpserver/writer.go
@@ -216,7 +216,7 @@
 	n, err := b.ReadCloser.Read(p)
 	if err != nil {
 		b.once.Do(func() {
-			b.complete = err == io.EOF //nolint:errorlint // the end of the body comes bare
+			b.complete = err == io.EOF
 			close(b.ended)
 		})
 	}
