httpserver: nothing follows the response that closes the connection

At a leaving node the refusal of a malformed request, and 100 Continue for a request that was not run, could follow a response that closes the connection; and the lines on dropped requests read a header that a handler may be changing. The refusal now counts as begun like any request, a body behind a closing response is not drained, and the ID is read when the request is. A full link allocates a channel only while a reply waits.

TestNothingFollowsTheClosingResponse.

--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -294,7 +294,7 @@
 	case <-body.ended:
 		return !last && body.complete
 	case <-w.done:
-		return !w.close && k.ctx.Err() == nil && w.drainBody()
+		return !w.close && !k.isDraining() && k.ctx.Err() == nil && w.drainBody()
 	}
 }
 
@@ -311,7 +311,7 @@
 	w.request = req.WithContext(ctx)
 	k.lastDone = w.done
 	k.received++
-	w.number = k.received
+	w.number, w.id = k.received, req.Header.Get(k.server.IDHeader)
 	k.unanswered = append(k.unanswered, w)
 	k.reading = false
 	return w
@@ -409,7 +409,7 @@
 	defer k.mu.Unlock()
 	out := make([]Unanswered, len(k.unanswered))
 	for i, w := range k.unanswered {
-		out[i] = Unanswered{Request: w.request, Before: i, Held: w.held.Load()}
+		out[i] = Unanswered{ID: w.id, RemoteAddr: w.request.RemoteAddr, Before: i, Held: w.held.Load()}
 	}
 	return out
 }
@@ -449,8 +449,12 @@
 	k.slots <- struct{}{}
 	go func() {
 		defer func() { <-k.slots }()
-		http.Error(w, reason, status)
-		w.finish()
+		if k.begin(w) {
+			http.Error(w, reason, status)
+			w.finish()
+		} else {
+			w.awaitTurn()
+		}
 		k.markAnswered(w)
 		close(w.done)
 	}()
--- a/internal/httpserver/httpserver.go
+++ b/internal/httpserver/httpserver.go
@@ -50,6 +50,8 @@
 	// Leaving reports whether connections must be closed as soon as the requests
 	// that run are answered. Requests behind them do not run then. Nil means never.
 	Leaving func() bool
+	// IDHeader is the header field with the ID of a request, for Unanswered.
+	IDHeader string
 	// MaxPipelined, HeadTimeout, IdleTimeout and MaxHeadBytes (bytes) override
 	// the defaults when above 0.
 	MaxPipelined             int
@@ -63,7 +65,9 @@
 
 // Unanswered is a request that was read but not answered yet.
 type Unanswered struct {
-	Request *http.Request
+	// ID is the value of Server.IDHeader, RemoteAddr the caller's end of the
+	// connection.
+	ID, RemoteAddr string
 	// Before is the number of earlier requests of its connection that are not
 	// answered yet. Their responses come first.
 	Before int
--- a/internal/httpserver/shutdown_test.go
+++ b/internal/httpserver/shutdown_test.go
@@ -155,3 +155,30 @@
 		qt.Assert(t, answered, qt.DeepEquals, ran)
 	}
 }
+
+// Guards against bytes behind the response that closes the connection: neither the
+// refusal of a malformed request nor 100 Continue may follow it.
+func TestNothingFollowsTheClosingResponse(t *testing.T) {
+	for _, behind := range []string{"malformed\n\n", "POST /2 HTTP/1.1\nHost: h\nExpect: 100-continue\nContent-Length: 3\n\n"} {
+		release := make(chan struct{})
+		s := &Server{Leaving: func() bool { return true }, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			<-release
+			echo(w, r)
+		})}
+		c := dial(t, serve(t, s))
+		c.send("GET /1 HTTP/1.1\nHost: h\n\n" + behind)
+		for len(s.Unanswered()) < 2 {
+			time.Sleep(time.Millisecond)
+		}
+		close(release)
+		_, closes := c.readHead()
+		if closes {
+			qt.Check(t, c.closed(), qt.IsTrue)
+			continue
+		}
+		status, closes := c.readHead()
+		qt.Check(t, status, qt.Equals, http.StatusBadRequest)
+		qt.Check(t, closes, qt.IsTrue)
+		qt.Check(t, c.closed(), qt.IsTrue)
+	}
+}
--- a/internal/httpserver/writer.go
+++ b/internal/httpserver/writer.go
@@ -20,8 +20,10 @@
 	// when this one is.
 	previousDone, done chan struct{}
 	cancel             context.CancelCauseFunc
-	// number counts the requests of the connection from 1.
+	// number counts the requests of the connection from 1. id is the request's ID;
+	// the handler may change the header that it comes from.
 	number int
+	id     string
 	// body is the request body that the handler reads from the connection, nil
 	// when the body was buffered.
 	body *streamedBody
--- a/internal/linker/link.go
+++ b/internal/linker/link.go
@@ -60,7 +60,7 @@
 	queue          []outgoingFrame
 	// queuedBytes is the total size of the payloads in queue.
 	queuedBytes int
-	// room is closed, and replaced, when the queue was emptied.
+	// room is closed when the queue was emptied. It is nil unless a reply waits.
 	room chan struct{}
 	// writing is true while frames that left the queue are being written.
 	writing bool
@@ -78,7 +78,7 @@
 	now := time.Now()
 	k := &link{
 		linker: l, peer: peer, conn: conn, reader: reader, dialed: dialed, clockStart: now, lastReceived: now, lastOpened: now,
-		writeReady: make(chan struct{}, 1), room: make(chan struct{}), done: make(chan struct{}),
+		writeReady: make(chan struct{}, 1), done: make(chan struct{}),
 		queryStreams: map[uint64]*Stream{}, handlerStreams: map[uint64]*handlerStream{}, pongs: map[uint64]chan struct{}{},
 		nextID: 2,
 	}
@@ -122,6 +122,9 @@
 			k.push(o)
 			return nil
 		}
+		if k.room == nil {
+			k.room = make(chan struct{})
+		}
 		room := k.room
 		k.mu.Unlock()
 		select {
@@ -161,8 +164,10 @@
 	}
 	k.queue, k.queuedBytes = k.queue[:0], 0
 	k.writing = true
-	close(k.room)
-	k.room = make(chan struct{})
+	if k.room != nil {
+		close(k.room)
+		k.room = nil
+	}
 	return b
 }
 
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -36,6 +36,7 @@
 	cs := &callerServer{listener: ln, server: &httpserver.Server{
 		Handler: n.EntryHandler, RunConcurrently: n.EntryHandler.Idempotent, Leaving: n.Drainer.Leaving,
 		HeadTimeout: headerTimeout, IdleTimeout: idleConnTimeout, MaxHeadBytes: maxHeaderBytes,
+		IDHeader: n.Platform.dialect().RequestIDHeader,
 	}}
 	wg.Go(func() {
 		if err := cs.server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
@@ -177,8 +178,7 @@
 			detail = "the response is ready"
 		}
 		n.Tracer.Add(tracer.Event{
-			Kind: "request-dropped", Request: u.Request.Header.Get(n.Platform.dialect().RequestIDHeader), Conn: u.Request.RemoteAddr,
-			Queue: u.Before, Detail: detail,
+			Kind: "request-dropped", Request: u.ID, Conn: u.RemoteAddr, Queue: u.Before, Detail: detail,
 		})
 	}
 }
