--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -9,7 +9,6 @@
 	"net"
 	"net/http"
 	"os"
-	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -298,25 +297,6 @@
 	}
 }
 
-// enqueue returns a writer whose response follows those to all earlier requests.
-// body is nil if the request's body was buffered.
-func (k *conn) enqueue(req *http.Request, body *streamedBody) *responseWriter {
-	ctx, cancel := context.WithCancelCause(k.ctx)
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	w := &responseWriter{
-		conn: k, header: http.Header{}, previousDone: k.lastDone, done: make(chan struct{}), cancel: cancel,
-		body: body, close: req.Close || !req.ProtoAtLeast(1, 1),
-	}
-	w.request = req.WithContext(ctx)
-	k.lastDone = w.done
-	k.received++
-	w.number, w.id = k.received, req.Header.Get(k.server.IDHeader)
-	k.unanswered = append(k.unanswered, w)
-	k.reading = false
-	return w
-}
-
 // run calls the handler, ends its response and lets the next one be written.
 func (k *conn) run(w *responseWriter) {
 	defer func() {
@@ -353,67 +333,6 @@
 	w.finish()
 }
 
-// begin reports whether a request may run.
-func (k *conn) begin(w *responseWriter) bool {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if k.closing {
-		return false
-	}
-	k.begun = max(k.begun, w.number)
-	return true
-}
-
-// closeAfter makes a response the last one of the connection, unless a later
-// request has begun to run, and reports whether it did.
-func (k *conn) closeAfter(w *responseWriter) bool {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if k.begun > w.number {
-		return false
-	}
-	k.closing, k.draining = true, true
-	return true
-}
-
-// closeIfIdle ends the reading of an idle connection, so that it closes. A request
-// that arrives at the same moment is either read and answered or not read.
-func (k *conn) closeIfIdle() {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if len(k.unanswered) == 0 && !k.reading && !k.draining {
-		k.draining = true
-		_ = k.netConn.SetReadDeadline(time.Now()) // unblocks the pending read
-	}
-}
-
-// abort cancels the unanswered requests with ErrAborted.
-func (k *conn) abort() {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	for _, w := range k.unanswered {
-		w.cancel(ErrAborted)
-	}
-}
-
-// markAnswered removes a request whose response was written or abandoned.
-func (k *conn) markAnswered(w *responseWriter) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	k.unanswered = slices.DeleteFunc(k.unanswered, func(o *responseWriter) bool { return o == w })
-}
-
-// listUnanswered returns the requests that were read but not answered yet.
-func (k *conn) listUnanswered() []Unanswered {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	out := make([]Unanswered, len(k.unanswered))
-	for i, w := range k.unanswered {
-		out[i] = Unanswered{ID: w.id, RemoteAddr: w.request.RemoteAddr, Before: i, Held: w.held.Load()}
-	}
-	return out
-}
-
 // restartIdleTimeout sets the idle timeout when no request is in flight.
 func (k *conn) restartIdleTimeout() {
 	k.mu.Lock()
--- a/internal/httpserver/httpserver.go
+++ b/internal/httpserver/httpserver.go
@@ -63,18 +63,6 @@
 	closed bool
 }
 
-// Unanswered is a request that was read but not answered yet.
-type Unanswered struct {
-	// ID is the value of Server.IDHeader, RemoteAddr the caller's end of the
-	// connection.
-	ID, RemoteAddr string
-	// Before is the number of earlier requests of its connection that are not
-	// answered yet. Their responses come first.
-	Before int
-	// Held is true if its response is ready and waits for them.
-	Held bool
-}
-
 func positiveOr[T int | time.Duration](v, fallback T) T {
 	if v > 0 {
 		return v
