--- a/internal/node/late_request_test.go
+++ b/internal/node/late_request_test.go
@@ -70,7 +70,7 @@
 		{"that ends in time", 6, 3050 * time.Millisecond, quick, "Zinnia-Timeout: 2000\r\n", "200"},
 		{"that times out in time", 6, 3050 * time.Millisecond, hang, "Zinnia-Timeout: 2000\r\n", "504 code 304"},
 		{"with more time", 10, 4100 * time.Millisecond, hang, "Zinnia-Timeout: 2000\r\n", "504 code 304"},
-		{"with more time, that may outlast it", 5, 2600 * time.Millisecond, hang, "", "503 code 501"},
+		{"with less time, that may outlast it", 5, 2600 * time.Millisecond, hang, "", "503 code 501"},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
