ramper: the limit of a target follows a cold limit that becomes known late

Now a higher cold limit takes effect at once, and the exit publishes it within half a second of the configuration.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -40,8 +40,12 @@
 	coldPacer, statedPacer pacer
 
 	// The fields below are guarded by Admitter.mu.
-	epoch uint64
-	slots int
+	epoch   uint64
+	service string
+	slots   int
+	// coldLimit is the service's cold limit that the ramp was last given. A
+	// target may announce itself before this node has a configuration.
+	coldLimit int
 	// publishedLimit is the limit that was last published to the fleet.
 	publishedLimit int
 	// statement is what the target last stated about itself in a response, and
@@ -96,14 +100,14 @@
 	defer a.mu.Unlock()
 	s := a.targets[t.Name]
 	if s == nil || s.epoch != t.Epoch {
-		s = &targetState{epoch: t.Epoch}
+		s = &targetState{epoch: t.Epoch, service: t.Service}
 		s.queue.Limit = s.ramp.Limit
 		if a.targets == nil {
 			a.targets = map[string]*targetState{}
 		}
 		a.targets[t.Name] = s
 	}
-	s.slots, s.verdictAppliedAt = t.Slots, time.Now()
+	s.slots, s.coldLimit, s.verdictAppliedAt = t.Slots, cold, time.Now()
 	s.coldPacer.setRate(a.coldRate(t))
 	s.ramp.Announce(t.State, t.Slots, cold)
 	a.Detector.Watch(t, cold)
@@ -183,7 +187,7 @@
 			delete(a.targets, name)
 			a.Detector.Drop(name)
 		}
-		changed = changed || s.limitChanged() || s.rateChanged()
+		changed = changed || s.limitChanged() || s.rateChanged() || s.coldLimit != a.ColdLimit(s.service)
 	}
 	return changed
 }
--- a/internal/ramper/ramper.go
+++ b/internal/ramper/ramper.go
@@ -63,7 +63,8 @@
 
 // Announce applies the target's announcement and the cold limit of its service.
 // A target that is new or announces that it is cold starts at the cold limit.
-// Announcing that it is warm does not raise the limit; only good responses do.
+// Announcing that it is warm does not raise the limit; only good responses do,
+// and a higher cold limit: operators say that even a cold target bears that.
 func (r *Ramper) Announce(state messenger.State, slots, coldLimit int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -72,6 +73,9 @@
 	if r.slots == 0 {
 		r.limit = coldLimit
 	}
+	if coldLimit > r.coldLimit {
+		r.limit = max(r.limit, coldLimit)
+	}
 	becameCold := state == messenger.Cold && r.state != messenger.Cold
 	r.state, r.slots, r.coldLimit = state, slots, coldLimit
 	r.limit = min(r.limit, slots)
