Requests wait for a sound target, bodies stay, inner requests stop the clock

A target of another data centre must be better by one for each 16 KiB of body. While a target waits for an inner request of its own, the age of the outer call does not speak for a fault episode.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -85,6 +85,8 @@
 	// Tracer records events; nil drops them.
 	Tracer *tracer.Tracer
 
+	running runningCalls
+
 	mu      sync.Mutex
 	targets map[string]*targetState
 	// wasOut is the result of CentreOut at the last check.
@@ -265,7 +267,9 @@
 	}
 	attempt := a.Detector.Start(j.Target.Name)
 	observeHead(j, attempt, admittedCall)
+	a.running.add(j.Call.Request, admittedCall)
 	return func(o exithandler.Outcome) {
+		a.running.remove(j.Call.Request, admittedCall)
 		class := resultClasses[o.Result]
 		s.ramp.Done(class.detector, attempt.Done(class.detector), s.queue.State().InFlight)
 		if admittedCall != nil {
@@ -290,6 +294,7 @@
 	c := j.Call
 	return breaker.Call{
 		Target: j.Target.Name, Epoch: j.Target.Epoch, Route: c.Route, LatencyObjective: c.Aim, NonIdempotent: c.Once, RelaxRiskLimit: c.RelaxRiskLimit,
+		Insist: c.Insist,
 	}
 }
 
--- a/internal/attemptsender/attempts.go
+++ b/internal/attemptsender/attempts.go
@@ -44,13 +44,18 @@
 	return t, err
 }
 
-// triedTargets returns the names of the targets tried so far.
+// maxTried bounds the targets that the next attempt avoids: a request that waits
+// for capacity asks a target again after some others.
+const maxTried = 4
+
+// triedTargets returns the names of the targets tried last.
 func (a *Attempts) triedTargets() []string {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	tried := make([]string, len(a.list))
-	for i := range a.list {
-		tried[i] = a.list[i].Target
+	recent := a.list[max(len(a.list)-maxTried, 0):]
+	tried := make([]string, len(recent))
+	for i := range recent {
+		tried[i] = recent[i].Target
 	}
 	return tried
 }
--- a/internal/breaker/breaker.go
+++ b/internal/breaker/breaker.go
@@ -79,6 +79,9 @@
 	// NonIdempotent tells that the call is non-idempotent, RelaxRiskLimit that
 	// other targets were worse.
 	NonIdempotent, RelaxRiskLimit bool
+	// Insist tells that the call can wait for no other target: it is admitted at
+	// any risk.
+	Insist bool
 }
 
 // Breaker holds the circuit breakers of the targets of one node. The zero value
@@ -110,6 +113,41 @@
 	latencies    *latencyDistribution
 	start        time.Time
 	headReceived bool
+	// pauses is how many times Pause was called without Resume, pausedAt when the
+	// first of them was, and paused the sum of the earlier pauses.
+	pauses   int
+	pausedAt time.Time
+	paused   time.Duration
+}
+
+// Pause stops the age of a call: its target waits for an answer to a request of
+// its own, so that it does not hang. Calls of Pause nest.
+func (a *AdmittedCall) Pause() {
+	a.breaker.mu.Lock()
+	defer a.breaker.mu.Unlock()
+	if a.pauses == 0 {
+		a.pausedAt = time.Now()
+	}
+	a.pauses++
+}
+
+// Resume ends one Pause.
+func (a *AdmittedCall) Resume() {
+	a.breaker.mu.Lock()
+	defer a.breaker.mu.Unlock()
+	if a.pauses--; a.pauses == 0 {
+		a.paused += time.Since(a.pausedAt)
+	}
+}
+
+// age returns how long the target has worked on the call, without pauses. The
+// caller holds the lock.
+func (a *AdmittedCall) age(now time.Time) time.Duration {
+	age := now.Sub(a.start) - a.paused
+	if a.pauses > 0 {
+		age -= now.Sub(a.pausedAt)
+	}
+	return age
 }
 
 // Outcome tells how a call ended.
@@ -169,7 +207,7 @@
 func (s *targetState) admits(c Call, risk float64, now time.Time) bool {
 	idle := now.Sub(s.lastAdmitted)
 	switch {
-	case idle >= MaxIdleTime:
+	case idle >= MaxIdleTime || c.Insist:
 		return true
 	case c.NonIdempotent && c.RelaxRiskLimit:
 		return risk <= MaxRelaxedNonIdempotentRisk
@@ -284,7 +322,7 @@
 // runningLikelihoodRatio returns how many times as likely it is in an episode
 // that the call still runs.
 func (a *AdmittedCall) runningLikelihoodRatio(now time.Time) float64 {
-	tail := a.latencies.tailProbability(now.Sub(a.start))
+	tail := a.latencies.tailProbability(a.age(now))
 	return (episodeFailureProbability + (1-episodeFailureProbability)*tail) / tail
 }
 
@@ -294,7 +332,7 @@
 	a.breaker.mu.Lock()
 	defer a.breaker.mu.Unlock()
 	a.headReceived = true
-	a.latencies.add(time.Since(a.start))
+	a.latencies.add(a.age(time.Now()))
 }
 
 // Done ends the call and updates the risk of its target.
--- a/internal/entryhandler/entryhandler.go
+++ b/internal/entryhandler/entryhandler.go
@@ -50,6 +50,9 @@
 	Service string
 	// Origin is the service on whose VM the request began, or empty if unknown.
 	Origin string
+	// Inner tells that the target of this VM sent the request while it runs another
+	// one.
+	Inner bool
 	// Dialect defines the HTTP interface to the caller.
 	Dialect *exithandler.Dialect
 	// Workspace is nil on open routes.
@@ -129,6 +132,10 @@
 	AdmitWhileStopping func(deadline time.Time) error
 	// KeysCurrent reports whether the node's knowledge of valid keys is current.
 	KeysCurrent func() bool
+	// BeginInner records an inner request of a request that runs at the target of
+	// this VM. It returns nil if none with that ID does, else a function to call
+	// when the inner request has ended. BeginInner may be nil.
+	BeginInner func(outer string) (end func())
 	// Limit counts one request against a workspace's rate and burst, or returns
 	// a refusal.
 	Limit func(ctx context.Context, workspace string) error
@@ -170,6 +177,7 @@
 		x.ExternalID = given
 	}
 	w.Header().Set(h.Dialect.RequestIDHeader, x.ExternalID)
+	defer h.beginInner(x)()
 	err := Chain(h.Filters())(req.Context(), x)
 	if err != nil && coder.Of(err).Code == coder.Canceled && errors.Is(context.Cause(req.Context()), httpserver.ErrAborted) {
 		err = coder.New(coder.Cut, "this node ends")
@@ -199,6 +207,22 @@
 	h.refuse(w, coder.Of(err))
 }
 
+// beginInner records an inner request and returns a function to call at its end.
+func (h *Handler) beginInner(x *Exchange) (end func()) {
+	if h.BeginInner == nil || h.Dialect.OuterRequest == nil {
+		return func() {}
+	}
+	outer := h.Dialect.OuterRequest(x.ExternalID)
+	if outer == "" {
+		return func() {}
+	}
+	if end = h.BeginInner(outer); end == nil {
+		return func() {}
+	}
+	x.Inner = true
+	return end
+}
+
 // traceIfHeld records that a response is ready and must wait for those to earlier
 // requests of its connection.
 func (h *Handler) traceIfHeld(x *Exchange) {
--- a/internal/exithandler/dialect.go
+++ b/internal/exithandler/dialect.go
@@ -37,6 +37,10 @@
 	// ResultHeaders is true when responses to callers carry the header fields
 	// Zinnia-Code and Zinnia-Ran.
 	ResultHeaders bool
+	// OuterRequest returns the ID of the request that a target was running when it
+	// sent an inner request with the given ID, or "" for no inner request. Nil means
+	// that IDs do not tell.
+	OuterRequest func(id string) string
 	// NotRun reports whether a target's response says that the request did not
 	// run.
 	NotRun func(status int, h http.Header) bool
--- a/internal/loadprober/loadprober.go
+++ b/internal/loadprober/loadprober.go
@@ -37,6 +37,10 @@
 	// maxPreferredRisk is the weighted risk above which targets of other data
 	// centres are probed too.
 	maxPreferredRisk = 0.8
+	// remoteBodyBytes is the size of a body for which the score of a target of
+	// another data centre must be lower by one: bytes between data centres cost
+	// money, and a large body occupies a slow link for long.
+	remoteBodyBytes = 16 << 10
 	// minRemoteGain is by how much the score of a target of the second, wide
 	// draw must be lower: traffic between data centres costs money.
 	minRemoteGain = 0.3
@@ -85,8 +89,8 @@
 
 // Prober chooses targets at one entry node. Its fields are set before use.
 type Prober struct {
-	// Self is the name of the own node.
-	Self string
+	// Self is the name of the own node, Centre its data centre.
+	Self, Centre string
 	// Candidates returns up to n distinct targets of a service, drawn by
 	// weight, without those tried. If wide is set, the weights do not favour
 	// the own data centre.
@@ -147,6 +151,8 @@
 		return best.idle.target, nil
 	case c.Once && best.soundIdle.time > 0 && p.troubles.include(c):
 		return best.soundIdle.target, nil
+	case c.Insist:
+		return best.target, nil
 	case c.Once && best.risk > breaker.MaxRelaxedNonIdempotentRisk && best.idle.time >= breaker.MaxIdleTime:
 		return best.idle.target, nil
 	case c.Once && best.risk > breaker.MaxRelaxedNonIdempotentRisk:
@@ -198,7 +204,7 @@
 				soundIdle = longestIdle(soundIdle, it)
 			}
 		}
-		sc := score(c, report)
+		sc := score(c, report) + p.bodyCost(c, targets[i])
 		if i == 0 || sc < best.score {
 			best = candidate{target: targets[i], score: sc}
 			if report != nil {
@@ -230,6 +236,14 @@
 	return riskWeight(c)*risk + loadWeight*r.load() + delayWeight*r.StartDelay.Seconds()
 }
 
+// bodyCost is what the transfer of a call's body to a target adds to its score.
+func (p *Prober) bodyCost(c *messenger.Call, t messenger.Target) float64 {
+	if t.Centre == p.Centre {
+		return 0
+	}
+	return float64(len(c.Body)) / remoteBodyBytes
+}
+
 func riskWeight(c *messenger.Call) float64 {
 	if c.Once {
 		return nonIdempotentRiskWeight
--- a/internal/messenger/call.go
+++ b/internal/messenger/call.go
@@ -44,6 +44,9 @@
 	// RelaxRiskLimit means that the target had the best of several load reports,
 	// so the exit node accepts a higher risk for a non-idempotent call.
 	RelaxRiskLimit bool
+	// Insist means that the request cannot wait any longer for a target that is
+	// not suspected of hanging: it runs at the least risky one.
+	Insist bool
 	// Rank is the priority of the request: 0 is the highest.
 	Rank int
 	// Weight is the workspace's relative share of a busy target, at least 1.
--- a/internal/node/load.go
+++ b/internal/node/load.go
@@ -111,7 +111,7 @@
 
 func newLoadProber(s settingsloader.Settings, p *picker.Picker, a *admitter.Admitter, l *linker.Linker, r *targetregistrar.Registrar, n *noter.Noter) *loadprober.Prober {
 	lp := &loadprober.Prober{
-		Self: s.Name, Candidates: p.Candidates, Statement: n.Statement,
+		Self: s.Name, Centre: s.Centre, Candidates: p.Candidates, Statement: n.Statement,
 		LocalReport: func(q *loadprober.Query) loadprober.Report { return localLoadReport(a, r, q) },
 		SendProbe: func(ctx context.Context, node string, q *loadprober.Query) (*loadprober.Report, error) {
 			return linker.SendTypedQuery[loadprober.Query, loadprober.Report](ctx, l, node, linker.MethodLoadProbe, q)
@@ -175,7 +175,7 @@
 }
 
 // bindLoad connects the detector to other nodes, and its verdicts to the admitter
-// and the target registrar.
+// and the target registrar, and the entry handler to the admitter.
 func bindLoad(c components) {
 	c.Detector.SendQuery = func(ctx context.Context, node string, q *detector.Query) (*detector.Reply, error) {
 		return linker.SendTypedQuery[detector.Query, detector.Reply](ctx, c.Linker, node, linker.MethodReference, q)
@@ -183,6 +183,7 @@
 	linker.HandleTypedQuery(c.Linker, linker.MethodReference, c.Detector.Handle)
 	c.Detector.OnVerdict = c.Admitter.HandleVerdict
 	c.Admitter.RefreshVerdicts = c.TargetRegistrar.RefreshVerdicts
+	c.EntryHandler.BeginInner = c.Admitter.BeginInner
 }
 
 // runDetector runs the detector as a controller.
--- a/internal/requestrunner/requestrunner.go
+++ b/internal/requestrunner/requestrunner.go
@@ -23,6 +23,10 @@
 // objective so that even slow responses meet it.
 const expectedLatencyPercent = 60
 
+// holdLatencyQuantile is the share of good responses of a route that must still
+// meet the objective after a wait for a target.
+const holdLatencyQuantile = 0.75
+
 // Runner makes the attempts of requests. Set the fields before the first
 // request.
 type Runner struct {
@@ -47,15 +51,17 @@
 // runAttempts sends a request to targets until the retrier ends it.
 func (r *Runner) runAttempts(ctx context.Context, x *entryhandler.Exchange) (*attemptsender.Response, error) {
 	call := x.Call()
+	holdUntil := r.holdUntil(&call)
 	attempts := &attemptsender.Attempts{}
 	p := retrier.Policy{
-		Service: call.Service, Route: call.Route, NonIdempotent: call.Once, MaxTargets: x.Route.Tries, ExpectedLatency: expectedLatencyPercent * call.Aim / 100, Deadline: x.Deadline,
+		Service: call.Service, Route: call.Route, NonIdempotent: call.Once, MaxTargets: x.Route.Tries, ExpectedLatency: expectedLatencyPercent * call.Aim / 100, Deadline: x.Deadline, HoldUntil: holdUntil,
 		ProveNotRun: func(ctx context.Context, try int) bool { return r.confirmNotSeen(ctx, attempts, attemptID(x.ID, try)) },
 	}
 	return retrier.Do(ctx, r.Retrier, p, retrier.AttemptFuncs[*attemptsender.Response]{
 		Try: func(ctx context.Context, try int) (*attemptsender.Response, error) {
 			c := call
 			c.ID = attemptID(x.ID, try)
+			c.Insist = !holdUntil.IsZero() && !time.Now().Before(holdUntil)
 			if r.Admit != nil {
 				if err := r.Admit(&c); err != nil {
 					return nil, err
@@ -68,6 +74,17 @@
 	})
 }
 
+// holdUntil returns until when a request may wait for a target and still be
+// answered within the latency objective of its route. It is zero for a route
+// without one.
+func (r *Runner) holdUntil(c *messenger.Call) time.Time {
+	if c.Aim == 0 {
+		return time.Time{}
+	}
+	latency := r.Retrier.TypicalLatency(c.Service, c.Route, holdLatencyQuantile, expectedLatencyPercent*c.Aim/100)
+	return time.Now().Add(max(c.Aim-latency, 0))
+}
+
 func attemptID(request string, try int) string {
 	return request + "/" + strconv.Itoa(try)
 }
--- a/internal/retrier/execution.go
+++ b/internal/retrier/execution.go
@@ -39,6 +39,9 @@
 	// hedges, and retries of attempts that reached a target or may have.
 	// redirects counts the attempts outside the budget.
 	started, targetRetries, budgeted, redirects int
+	// holds counts the attempts that were made because the request could still
+	// wait.
+	holds int
 	// mayHaveRun tells whether an ended attempt may have run.
 	mayHaveRun bool
 	// failedResponse is the last response that reported a failure. It is
@@ -155,6 +158,9 @@
 	case redirect:
 		return x.takeRedirect()
 	case redirectAfterPause:
+		if x.hold() {
+			return true
+		}
 		return x.takeRedirect() && x.sleep(time.Duration(x.redirects)*x.retrier.RedirectBackoff)
 	case retry:
 		return x.takeTargetRetry() && x.sleep(x.retrier.backoff(x.targetRetries))
@@ -164,6 +170,18 @@
 	return false
 }
 
+// hold pauses before the next attempt of a request that may still wait, and
+// reports whether it did.
+func (x *execution[R]) hold() bool {
+	pause := min(x.retrier.RedirectBackoff*time.Duration(x.holds+1), maxHoldPause)
+	if pause == 0 || time.Until(x.policy.HoldUntil) < pause || !x.sleep(pause) {
+		return false
+	}
+	x.holds++
+	x.retrier.holds.Add(1)
+	return true
+}
+
 // takeRedirect counts one more attempt outside the budget. It reports whether
 // that is allowed.
 func (x *execution[R]) takeRedirect() bool {
--- a/internal/retrier/policy.go
+++ b/internal/retrier/policy.go
@@ -26,6 +26,10 @@
 	// Deadline is when the caller stops waiting. No attempt, backoff or hedge
 	// extends beyond it.
 	Deadline time.Time
+	// HoldUntil is until when the request may wait for a target that has capacity
+	// and is not suspected of hanging, and still meet its latency objective. Until
+	// then such refusals do not count as redirects. Zero means not to wait.
+	HoldUntil time.Time
 	// ProveNotRun asks the exit node of a failed attempt whether the attempt
 	// arrived. It returns true only if the attempt did not arrive and never
 	// will. With a nil ProveNotRun there is never proof.
--- a/internal/retrier/retrier.go
+++ b/internal/retrier/retrier.go
@@ -37,6 +37,9 @@
 	// each further one.
 	DefaultBackoff = 10 * time.Millisecond
 
+	// maxHoldPause bounds the pause between two attempts of a request that waits
+	// for a target. Each attempt costs a few load probes.
+	maxHoldPause = 150 * time.Millisecond
 	// cancelGracePeriod is how long attempts in flight have to report how they
 	// ended, after the context of the request is done.
 	cancelGracePeriod = 10 * time.Millisecond
@@ -75,6 +78,8 @@
 type Counts struct {
 	// Requests, Attempts, Hedges and Redirects count what was started.
 	Requests, Attempts, Hedges, Redirects int64
+	// Holds counts attempts after a wait for capacity or for a sound target.
+	Holds int64
 	// Denied counts extra attempts that the budget did not allow.
 	Denied int64
 }
@@ -116,9 +121,9 @@
 	// Rand returns a number in [0, 1).
 	Rand func() float64
 
-	seed                                          maphash.Seed
-	shards                                        [shardCount]shard
-	requests, attempts, hedges, redirects, denied atomic.Int64
+	seed                                                 maphash.Seed
+	shards                                               [shardCount]shard
+	requests, attempts, hedges, redirects, holds, denied atomic.Int64
 }
 
 // New returns a retrier with the default settings.
@@ -136,7 +141,7 @@
 func (r *Retrier) Counts() Counts {
 	return Counts{
 		Requests: r.requests.Load(), Attempts: r.attempts.Load(), Hedges: r.hedges.Load(),
-		Redirects: r.redirects.Load(), Denied: r.denied.Load(),
+		Redirects: r.redirects.Load(), Holds: r.holds.Load(), Denied: r.denied.Load(),
 	}
 }
 
@@ -218,6 +223,15 @@
 	return v
 }
 
+// TypicalLatency returns the latency within which quantile of the recent
+// successful responses of a route came, or fallback without enough of them.
+func (r *Retrier) TypicalLatency(service, route string, quantile float64, fallback time.Duration) time.Duration {
+	if d, ok := r.service(service).latency(route).quantile(quantile, r.HedgeMinSamples); ok {
+		return d
+	}
+	return fallback
+}
+
 // hedgeDelay returns the delay before a hedge, or false for no hedge. Without
 // enough samples the delay is the expected latency, if that is known.
 func (r *Retrier) hedgeDelay(h *latencyHistogram, expected time.Duration) (time.Duration, bool) {
