--- a/internal/breaker/breaker.go
+++ b/internal/breaker/breaker.go
@@ -101,6 +101,7 @@
 	// lastAdmitted is when a call was last admitted, or when the state was
 	// created if none was.
 	lastAdmitted time.Time
+	calibration  calibration
 	latencies    map[string]*latencyDistribution
 	inFlight     map[*AdmittedCall]struct{}
 }
@@ -113,6 +114,8 @@
 	latencies    *latencyDistribution
 	start        time.Time
 	headReceived bool
+	// modelRisk is the model's risk when the call was admitted.
+	modelRisk float64
 	// pauses is how many times Pause was called without Resume, pausedAt when the
 	// first of them was, and paused the sum of the earlier pauses.
 	pauses   int
@@ -179,7 +182,7 @@
 		return nil, risk, rejection(c, risk)
 	}
 	s.lastAdmitted = now
-	a = &AdmittedCall{breaker: b, target: s, latencies: s.routeLatencies(c), start: now}
+	a = &AdmittedCall{breaker: b, target: s, latencies: s.routeLatencies(c), start: now, modelRisk: s.modelRisk(now)}
 	s.inFlight[a] = struct{}{}
 	return a, risk, nil
 }
@@ -274,7 +277,7 @@
 		latencies: map[string]*latencyDistribution{}, inFlight: map[*AdmittedCall]struct{}{},
 	}
 	if old := b.targets[c.Target]; old != nil {
-		s.latencies = old.latencies // a restart leaves the work the same
+		s.latencies, s.calibration = old.latencies, old.calibration // a restart leaves the work the same
 	}
 	b.targets[c.Target] = s
 	return s
@@ -300,8 +303,19 @@
 	s.riskTime = now
 }
 
-// currentRisk returns the risk from the ended calls and the calls in flight.
+// currentRisk returns the calibrated risk.
 func (s *targetState) currentRisk(now time.Time) float64 {
+	var bad [calibrationBins]float64
+	for a := range s.inFlight {
+		if !a.headReceived {
+			bad[calibrationBin(a.modelRisk)] += a.lateness(now)
+		}
+	}
+	return s.calibration.correct(s.modelRisk(now), &bad, now)
+}
+
+// modelRisk returns the risk from the ended calls and the calls in flight.
+func (s *targetState) modelRisk(now time.Time) float64 {
 	s.decayRisk(now)
 	risk := s.risk
 	for a := range s.inFlight {
@@ -326,6 +340,12 @@
 	return (episodeFailureProbability + (1-episodeFailureProbability)*tail) / tail
 }
 
+// lateness returns the fraction of the successful responses that come earlier than
+// the age of the call.
+func (a *AdmittedCall) lateness(now time.Time) float64 {
+	return 1 - a.latencies.tailProbability(a.age(now))
+}
+
 // HeadReceived records that the head of the response has come. The time of the
 // body also depends on its reader, so the call's age no longer counts.
 func (a *AdmittedCall) HeadReceived() {
@@ -344,6 +364,18 @@
 	delete(s.inFlight, a)
 	s.decayRisk(now)
 	switch o {
+	case Good:
+		s.calibration.add(a.modelRisk, 0, now)
+	case Failed, Truncated:
+		s.calibration.add(a.modelRisk, 1, now)
+	case Abandoned:
+		if !a.headReceived {
+			if late := a.lateness(now); late > 0.5 {
+				s.calibration.add(a.modelRisk, late, now)
+			}
+		}
+	}
+	switch o {
 	case Good:
 		s.risk = updateRisk(s.risk, 1-episodeFailureProbability)
 	case Failed:
--- a/internal/loadprober/loadprober.go
+++ b/internal/loadprober/loadprober.go
@@ -168,8 +168,8 @@
 	}
 	preferred := p.Candidates(c.Service, tried, maxProbes, false)
 	best, ok := p.bestCandidate(ctx, c, preferred)
-	if !ok || best.sufficient {
-		return best, ok
+	if !ok || best.sufficient || len(tried) > 0 && len(preferred) == maxProbes {
+		return best, ok // a wide draw for each further attempt would cost too many probes
 	}
 	for _, t := range preferred {
 		tried = append(tried[:len(tried):len(tried)], t.Name)
