exithandler: responses without a valid status are refused on the connection

net/http returns every status up to 999 as the response and keeps the connection of one from 600 on, so a call that waited for a connection got it, and then the response to the other call. Statuses that net/http does not parse (0, 00, 0000, 1000, letters, none) on a connection that was idle for 0.5 s were taken for a closed connection: the call was sent again, and the target's failure was not counted.

Connections to targets now check each status line before net/http reads it, also behind interim responses.

--- a/internal/attemptsender/attemptsender_test.go
+++ b/internal/attemptsender/attemptsender_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"testing"
 
@@ -17,16 +18,18 @@
 	for _, tc := range []struct {
 		status int
 		final  bool
-	}{{0, false}, {99, false}, {101, false}, {103, false}, {200, true}, {404, true}, {599, true}, {600, false}} {
-		r := &Response{Source: Source{Recv: func(context.Context) (*messenger.ResponseHead, []byte, bool, error) {
-			return &messenger.ResponseHead{Status: tc.status}, nil, true, nil
-		}}}
-		err := r.buffer(t.Context(), http.MethodGet)
-		if tc.final {
-			qt.Check(t, err, qt.IsNil, qt.Commentf("status %d", tc.status))
-			continue
-		}
-		qt.Assert(t, err, qt.IsNotNil, qt.Commentf("status %d", tc.status))
-		qt.Check(t, coder.Of(err).Code, qt.Equals, coder.Cut)
+	}{{-1, false}, {0, false}, {99, false}, {100, false}, {101, false}, {103, false}, {200, true}, {404, true}, {599, true}, {600, false}, {999, false}, {1000, false}} {
+		t.Run(fmt.Sprint(tc.status), func(t *testing.T) {
+			r := &Response{Source: Source{Recv: func(context.Context) (*messenger.ResponseHead, []byte, bool, error) {
+				return &messenger.ResponseHead{Status: tc.status}, nil, true, nil
+			}}}
+			err := r.buffer(t.Context(), http.MethodGet)
+			if tc.final {
+				qt.Check(t, err, qt.IsNil)
+				return
+			}
+			qt.Assert(t, err, qt.IsNotNil)
+			qt.Check(t, coder.Of(err).Code, qt.Equals, coder.Cut)
+		})
 	}
 }
--- a/internal/exithandler/sender.go
+++ b/internal/exithandler/sender.go
@@ -66,7 +66,13 @@
 // initTransports creates the transports. Each non-idempotent call gets a new
 // connection: a pooled one may turn out to be closed or have gone silent.
 func (s *Sender) initTransports() {
-	dial := func(ctx context.Context, _, address string) (net.Conn, error) { return s.Dial(ctx, address) }
+	dial := func(ctx context.Context, _, address string) (net.Conn, error) {
+		c, err := s.Dial(ctx, address)
+		if err != nil {
+			return nil, err
+		}
+		return checkStatusOn(c), nil
+	}
 	s.pooled = &http.Transport{
 		DialContext: dial, DisableCompression: true, MaxResponseHeaderBytes: maxResponseHeadBytes,
 		IdleConnTimeout: idleConnTimeout, MaxIdleConnsPerHost: maxIdleConnsPerTarget,
@@ -115,7 +121,8 @@
 // roundTrip sends the call and returns the head of the response, and whether its
 // connection was used before. An idempotent call that breaks off on a connection
 // which was idle before is sent once more, on a new one: the target may have closed
-// the idle one before it read the call. A *coder.Error means that the call is not a
+// the idle one before it read the call. A response without a valid status is a failure
+// of the target and ends the call. A *coder.Error means that the call is not a
 // valid request.
 func (s *Sender) roundTrip(ctx context.Context, j *Job, g *guard) (res *http.Response, reused bool, err error) {
 	if j.Call.Once || resentByTransport(j.Call) || s.refused.has(j.Call.Request) {
@@ -126,9 +133,13 @@
 	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		g.sent.Store(true)
 		conn = info
+		if c, ok := info.Conn.(*statusConn); ok {
+			c.expectResponse()
+		}
 	}})
 	res, err = s.roundTripOn(traced, j, s.pooled)
-	if err == nil || !conn.Reused || ctx.Err() != nil {
+	invalid := (*invalidStatusError)(nil)
+	if err == nil || !conn.Reused || ctx.Err() != nil || errors.As(err, &invalid) {
 		return res, conn.Reused, err
 	}
 	s.pooled.CloseIdleConnections() // the process at their other end may be gone
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -277,6 +277,11 @@
 		f.mu.Lock()
 		f.canceled = append(f.canceled, r.URL.Path)
 		f.mu.Unlock()
+	case strings.HasSuffix(r.URL.Path, "/raw"):
+		if c, _, err := http.NewResponseController(w).Hijack(); err == nil {
+			_, _ = c.Write(body)
+			_ = c.Close()
+		}
 	case strings.HasSuffix(r.URL.Path, "/large"):
 		_, _ = io.WriteString(w, strings.Repeat("0123456789abcdef", 1<<16))
 	default:
