explain: print a call's place in the queue, its wait and its rank

A log tells why a call was refused, but not where it stood in the queue and how long it waited there. Events that carry place, wait (ms) and rank now show them, also when they are 0.

--- a/internal/explainer/explainer.go
+++ b/internal/explainer/explainer.go
@@ -24,31 +24,49 @@
 	kindRefused  = "request-refused"
 )
 
-// Read returns the events of a request in logs, in the order of the nodes'
-// clocks. It skips lines that are not events, and text before a line's JSON,
-// such as a log collector adds.
-func Read(in io.Reader, request string) ([]tracer.Event, error) {
-	var out []tracer.Event
+// Event is an event of a log. The fields that tell of a call's queue are nil where
+// the line does not have them, as 0 is a value of each.
+type Event struct {
+	tracer.Event
+	// Place is the call's place in the queue of its target when it arrived, and Rank
+	// its priority: 0 is the highest.
+	Place *int `json:"place"`
+	Rank  *int `json:"rank"`
+	// Wait is how long the call waited in the queue, in milliseconds.
+	Wait *float64 `json:"wait"`
+}
+
+// EachObject calls visit with the JSON object of each line of a log. It skips lines
+// without one, and text before it, such as a log collector adds. The bytes are valid
+// only during the call, and may be no valid JSON.
+func EachObject(in io.Reader, visit func(object []byte)) error {
 	s := bufio.NewScanner(in)
 	s.Buffer(nil, maxLineBytes)
 	for s.Scan() {
-		line := s.Bytes()
-		i := bytes.IndexByte(line, '{')
-		if i < 0 || !bytes.Contains(line, []byte(request)) {
-			continue
+		if i := bytes.IndexByte(s.Bytes(), '{'); i >= 0 {
+			visit(s.Bytes()[i:])
 		}
-		var e tracer.Event
-		if json.Unmarshal(line[i:], &e) == nil && e.Request == request {
+	}
+	return s.Err()
+}
+
+// Read returns the events of a request in logs, in the order of the nodes'
+// clocks. It skips lines that are not events.
+func Read(in io.Reader, request string) ([]Event, error) {
+	var out []Event
+	err := EachObject(in, func(object []byte) {
+		var e Event
+		if bytes.Contains(object, []byte(request)) && json.Unmarshal(object, &e) == nil && e.Request == request {
 			out = append(out, e)
 		}
-	}
-	slices.SortStableFunc(out, func(a, b tracer.Event) int { return a.Time.Compare(b.Time) })
-	return out, s.Err()
+	})
+	slices.SortStableFunc(out, func(a, b Event) int { return a.Time.Compare(b.Time) })
+	return out, err
 }
 
 // Write writes the events of a request, one per line with the milliseconds since
 // the first, and then how the request ended.
-func Write(w io.Writer, events []tracer.Event) error {
+func Write(w io.Writer, events []Event) error {
 	var b strings.Builder
 	for _, e := range events {
 		fmt.Fprintf(&b, "%7d ms  %-16s %-16s%s\n", e.Time.Sub(events[0].Time).Milliseconds(), e.Node, e.Kind, details(e))
@@ -59,7 +77,7 @@
 }
 
 // details returns the fields of an event that explain its decision.
-func details(e tracer.Event) string {
+func details(e Event) string {
 	var b strings.Builder
 	add := func(name string, v any, present bool) {
 		if present {
@@ -71,12 +89,21 @@
 	add("status", e.Status, e.Status != 0)
 	add("risk", fmt.Sprintf("%.2f", e.Risk), e.Risk > 0)
 	add("load", fmt.Sprintf("%d+%d/%d", e.InFlight, e.Queue, e.Limit), e.Limit > 0)
+	if e.Place != nil {
+		add("place", *e.Place, true)
+	}
+	if e.Wait != nil {
+		add("wait", fmt.Sprintf("%.0fms", *e.Wait), true)
+	}
+	if e.Rank != nil {
+		add("rank", *e.Rank, true)
+	}
 	add("detail", e.Detail, e.Detail != "")
 	return b.String()
 }
 
 // outcome describes how a request ended.
-func outcome(events []tracer.Event) string {
+func outcome(events []Event) string {
 	for _, e := range slices.Backward(events) {
 		switch e.Kind {
 		case kindAnswered:
@@ -89,7 +116,7 @@
 	return "no end of the request is in these logs"
 }
 
-func countAttempts(events []tracer.Event) int {
+func countAttempts(events []Event) int {
 	n := 0
 	for _, e := range events {
 		if e.Kind == "attempt" {
