entryhandler: the log lines of ended requests name the route and its objective

A line of a refused request did not tell its route, and no line the latency objective, so that an account of a period could attribute neither refusals nor late answers. TestEndsOfRequestsNameTheRoute fails without it.

--- a/internal/entryhandler/entryhandler.go
+++ b/internal/entryhandler/entryhandler.go
@@ -180,17 +180,10 @@
 	}
 	took := time.Since(start)
 	h.Count(code, took)
+	h.traceEnd(x, code, took, err)
 	if err == nil {
-		h.Tracer.Add(tracer.Event{
-			Kind: "request-answered", Request: x.ExternalID, Conn: req.RemoteAddr, Workspace: x.WorkspaceName(), Target: x.Target,
-			Status: x.Status, Took: tracer.Millis(took), Detail: x.Route.Name, Routine: true,
-		})
 		return
 	}
-	h.Tracer.Add(tracer.Event{
-		Kind: "request-refused", Request: x.ExternalID, Conn: req.RemoteAddr, Workspace: x.WorkspaceName(), Code: int(code), Took: tracer.Millis(took),
-		Detail: coder.Of(err).Error(),
-	})
 	if x.headWritten {
 		// Close the connection, so that the caller does not take the truncated
 		// response for a complete one.
@@ -199,6 +192,23 @@
 	h.refuse(w, coder.Of(err))
 }
 
+// traceEnd records the end of a request. The detail of an answered one is the name
+// of its route.
+func (h *Handler) traceEnd(x *Exchange, code coder.Code, took time.Duration, err error) {
+	e := tracer.Event{
+		Kind: "request-answered", Request: x.ExternalID, Conn: x.Request.RemoteAddr, Workspace: x.WorkspaceName(), Took: tracer.Millis(took),
+	}
+	if x.Route != nil { // a request may be refused before its route is known
+		e.Route, e.Aim = x.Route.Name, x.Route.Aim
+	}
+	if err != nil {
+		e.Kind, e.Code, e.Detail = "request-refused", int(code), coder.Of(err).Error()
+	} else {
+		e.Target, e.Status, e.Detail, e.Routine = x.Target, x.Status, e.Route, true
+	}
+	h.Tracer.Add(e)
+}
+
 // traceIfHeld records that a response is ready and must wait for those to earlier
 // requests of its connection.
 func (h *Handler) traceIfHeld(x *Exchange) {
--- a/internal/tracer/tracer.go
+++ b/internal/tracer/tracer.go
@@ -32,6 +32,10 @@
 	Target string `json:"target,omitempty"`
 	// Workspace is the name of a workspace.
 	Workspace string `json:"workspace,omitempty"`
+	// Route is the name of a request's route, and Aim the route's latency objective
+	// in milliseconds, 0 if it has none.
+	Route string `json:"route,omitempty"`
+	Aim   int    `json:"aim,omitempty"`
 	// Attempt is the ID of one attempt of a request. Code is the result code of
 	// the attempt or the request.
 	Attempt string `json:"attempt,omitempty"`
