account: an account of a period from the nodes' logs

explain tells what became of one request; nothing told what became of all, by route, rank and workspace, where their attempts went, how long calls waited, or which method took the bytes between data centres. zinniaproxy account reads the logs of all nodes in any order, prints these tables and draws the requests over time. The golden tables of a small log hold for any order of its lines, and the chart has each request once, inside of the plot.

--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -67,7 +67,7 @@
 	root := c.command("", c.rootHelp, nil)
 	root.Name = program
 	root.Subcommands = []*ffcli.Command{
-		c.demo(), c.check(), c.diff(), c.apply(), c.show(), c.release(), c.timeline(), c.explain(), c.node(), c.load(), c.target(), c.store(), c.help(),
+		c.demo(), c.check(), c.diff(), c.apply(), c.show(), c.release(), c.timeline(), c.explain(), c.account(), c.node(), c.load(), c.target(), c.store(), c.help(),
 	}
 	return root
 }
--- a/internal/commander/timeline.go
+++ b/internal/commander/timeline.go
@@ -5,6 +5,7 @@
 	"errors"
 	"flag"
 	"fmt"
+	"io"
 	"os"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
@@ -77,12 +78,17 @@
 }
 
 func (c *Commander) writePage(name string, events []tracer.Event) error {
-	f, err := os.Create(name)
-	if err != nil {
-		return coder.New(coder.BadSettings, "html: %v", withoutOperation(err))
-	}
-	if err := errors.Join(drawer.Write(f, events), f.Close()); err != nil {
+	if err := writeFile("html", name, func(w io.Writer) error { return drawer.Write(w, events) }); err != nil {
 		return err
 	}
 	return c.printf("%s: %d events\n", name, len(events))
 }
+
+// writeFile writes the file that a flag names.
+func writeFile(flagName, name string, write func(w io.Writer) error) error {
+	f, err := os.Create(name)
+	if err != nil {
+		return coder.New(coder.BadSettings, "%s: %v", flagName, withoutOperation(err))
+	}
+	return errors.Join(write(f), f.Close())
+}
