soak: clients that misbehave, beside the faults

The soak sent only requests of well-behaved callers. The seed decides when, where and what; the other steps of a seed stay as they were (TestClientLoadsLeaveOtherStepsAsTheyWere). The checks for ordinary callers hold beside them. A process that ends by itself, which the callers' outcomes did not tell from one that was stopped, is a violation.

--- a/internal/soaker/fleet.go
+++ b/internal/soaker/fleet.go
@@ -163,6 +163,21 @@
 	_ = f.store.terminate(syscall.SIGKILL, killTimeout)
 }
 
+// unexpectedExits describes the processes that ended by themselves.
+func (f *fleet) unexpectedExits() []string {
+	processes := []*process{f.store}
+	for _, v := range f.vms {
+		processes = append(processes, v.node, v.target)
+	}
+	var out []string
+	for _, p := range processes {
+		p.mu.Lock()
+		out = append(out, p.exits...)
+		p.mu.Unlock()
+	}
+	return out
+}
+
 // declaration returns the n-th declaration of a run, from 0. The first has a key
 // that the second withdraws; later ones differ only in a weight.
 func declaration(n int) declarer.Fleet {
--- a/internal/soaker/process.go
+++ b/internal/soaker/process.go
@@ -21,6 +21,9 @@
 	cmd        *exec.Cmd
 	exited     chan struct{}
 	startCount int
+	// ending is true once terminate was called, and exits describes the exits before.
+	ending bool
+	exits  []string
 }
 
 // start runs the program. Its output is appended to the file name.log in dir.
@@ -38,15 +41,24 @@
 		return err
 	}
 	exited := make(chan struct{})
+	p.cmd, p.exited, p.ending = cmd, exited, false
+	p.startCount++
 	go func() {
-		_ = cmd.Wait() // its log shows why it exited
+		p.recordExit(cmd.Wait())
 		close(exited)
 	}()
-	p.cmd, p.exited = cmd, exited
-	p.startCount++
 	return nil
 }
 
+// recordExit records the exit of the process, unless terminate caused it.
+func (p *process) recordExit(err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.ending {
+		p.exits = append(p.exits, fmt.Sprintf("%s exited by itself: %v", p.name, err))
+	}
+}
+
 // signal sends a signal to the process. A process that has exited is no error.
 func (p *process) signal(sig syscall.Signal) error {
 	p.mu.Lock()
@@ -63,6 +75,9 @@
 // terminate sends a signal and waits until the process exits. After timeout it
 // kills the process and returns an error.
 func (p *process) terminate(sig syscall.Signal, timeout time.Duration) error {
+	p.mu.Lock()
+	p.ending = true
+	p.mu.Unlock()
 	if err := p.signal(sig); err != nil {
 		return err
 	}
--- a/internal/soaker/schedule.go
+++ b/internal/soaker/schedule.go
@@ -31,11 +31,13 @@
 	FaultyCallersPath StepKind = "callers" // a fault of the path from callers to a node
 	FaultyStorePath   StepKind = "lookup"  // a fault of the path from a node to the store
 	FaultyTargetPath  StepKind = "target"  // a fault of the path from a node to its target
+	Misbehave         StepKind = "clients" // clients misbehave; as planned, other callers must not notice
 )
 
-// planned returns whether operators take this action in normal operation.
+// planned returns whether the step must not break any request: an action that
+// operators take in normal operation, or clients that misbehave.
 func (k StepKind) planned() bool {
-	return slices.Contains([]StepKind{StopNode, ReloadNode, ChangeDeclaration, ReplaceTarget}, k)
+	return slices.Contains([]StepKind{StopNode, ReloadNode, ChangeDeclaration, ReplaceTarget, Misbehave}, k)
 }
 
 // Step is one fault or change of a run.
@@ -50,6 +52,8 @@
 	// store or target.
 	PathFault  PathFault
 	FakeFaults string
+	// Clients are those that misbehave.
+	Clients Clients
 }
 
 // String returns the step as the report prints it.
@@ -58,15 +62,18 @@
 	if s.PathFault != (PathFault{}) {
 		fault = s.PathFault.String()
 	}
+	if s.Clients != (Clients{}) {
+		fault = s.Clients.String()
+	}
 	return fmt.Sprintf("%5.1f s for %4.1f s  %-8s n%d %s", s.At.Seconds(), s.Duration.Seconds(), s.Kind, s.Node, fault)
 }
 
 // Parameters holds the seed and the size of a run.
 type Parameters struct {
 	Seed uint64
-	// Nodes and Steps are counts. Restorations of the store come besides, so that
-	// they change nothing in the other steps of a seed.
-	Nodes, Steps, Restorations int
+	// Nodes and Steps are counts. Restorations of the store and ClientLoads come
+	// besides, so that they change nothing in the other steps of a seed.
+	Nodes, Steps, Restorations, ClientLoads int
 	// FaultPeriod is the time within which steps begin. The fleet must have
 	// recovered RecoveryTime after FaultPeriod and maxRandomStepTime have passed.
 	FaultPeriod, RecoveryTime time.Duration
@@ -107,13 +114,19 @@
 			st.PathFault = pathFaults[r.IntN(len(pathFaults))]
 		}
 	}
-	again := rand.New(rand.NewPCG(p.Seed, 2))
-	for range p.Restorations {
-		steps = append(steps, Step{
-			At: time.Duration(again.Float64() * float64(p.FaultPeriod)), Kind: RestoreStore, Node: again.IntN(p.Nodes),
-			Duration: 300*time.Millisecond + time.Duration(again.Float64()*float64(maxRandomStepTime)),
-		})
+	besides := func(stream uint64, kind StepKind, count int, complete func(r *rand.Rand, st *Step)) {
+		r := rand.New(rand.NewPCG(p.Seed, stream))
+		for range count {
+			st := Step{
+				At: time.Duration(r.Float64() * float64(p.FaultPeriod)), Kind: kind, Node: r.IntN(p.Nodes),
+				Duration: 300*time.Millisecond + time.Duration(r.Float64()*float64(maxRandomStepTime)),
+			}
+			complete(r, &st)
+			steps = append(steps, st)
+		}
 	}
+	besides(2, RestoreStore, p.Restorations, func(*rand.Rand, *Step) {})
+	besides(3, Misbehave, p.ClientLoads, func(r *rand.Rand, st *Step) { st.Clients = drawClients(r) })
 	slices.SortFunc(steps, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
 	return steps
 }
--- a/internal/soaker/soaker.go
+++ b/internal/soaker/soaker.go
@@ -74,6 +74,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.observations.Runs, s.observations.Counts = s.fleet.runs, s.fleet.counts
+	s.observations.Exits = s.fleet.unexpectedExits()
 	return &s.observations, err
 }
 
@@ -160,7 +161,7 @@
 		component = string(ChangeDeclaration)
 	case FaultyTarget, ReplaceTarget, CrashTarget:
 		component = fmt.Sprint("target ", st.Node)
-	case FaultyCallersPath, FaultyStorePath, FaultyTargetPath:
+	case FaultyCallersPath, FaultyStorePath, FaultyTargetPath, Misbehave:
 		component = fmt.Sprint(st.Kind, st.Node)
 	}
 	s.mu.Lock()
@@ -200,6 +201,11 @@
 		return s.fleet.restoreStore(ctx, st.Duration)
 	case FaultyStore:
 		return s.withFaults(ctx, st, "http://"+s.fleet.storeAddress()+"/v1/faults", noStoreFaults)
+	case Misbehave:
+		ctx, stop := context.WithTimeout(ctx, st.Duration)
+		defer stop()
+		st.Clients.run(ctx, fmt.Sprintf("%s:%d", v.ip, callersPort))
+		return nil
 	}
 	proxy := map[StepKind]*FaultProxy{FaultyCallersPath: v.callersProxy, FaultyStorePath: v.storeProxy, FaultyTargetPath: v.targetProxy}[st.Kind]
 	return runThenUndo(ctx, st.Duration, func() error { proxy.SetFault(st.PathFault); return nil }, func() error { proxy.SetFault(PathFault{}); return nil })
--- a/internal/soaker/soaker_test.go
+++ b/internal/soaker/soaker_test.go
@@ -1,10 +1,17 @@
 package soaker
 
 import (
+	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
+	"net/http"
+	"slices"
 	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -30,6 +37,95 @@
 	qt.Check(t, DrawSteps(p)[0] == a[0], qt.IsFalse)
 }
 
+// Guards against steps of a known seed that change when something is added besides,
+// and against loads that are never drawn.
+func TestClientLoadsLeaveOtherStepsAsTheyWere(t *testing.T) {
+	p := Parameters{Seed: 7, Nodes: 4, Steps: 30, Restorations: 2, FaultPeriod: 20 * time.Second}
+	before := DrawSteps(p)
+	p.ClientLoads = 50
+	loads := map[ClientLoad]bool{}
+	after := slices.DeleteFunc(DrawSteps(p), func(st Step) bool {
+		loads[st.Clients.Load] = true
+		return st.Kind == Misbehave
+	})
+	qt.Check(t, after, qt.DeepEquals, before)
+	for _, load := range clientLoads {
+		qt.Check(t, loads[load], qt.IsTrue, qt.Commentf("%s", load))
+	}
+}
+
+// TestClientsMisbehave has each load on some connections to a server that reads all
+// that it gets, and answers each request by more than the buffers between take.
+func TestClientsMisbehave(t *testing.T) {
+	for _, load := range clientLoads {
+		t.Run(string(load), func(t *testing.T) {
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			qt.Assert(t, err, qt.IsNil)
+			defer ln.Close()
+			var requests, fields, shortBodies, openBodies, answered atomic.Int64
+			var wg sync.WaitGroup
+			wg.Go(func() {
+				for {
+					c, err := ln.Accept()
+					if err != nil {
+						return
+					}
+					wg.Go(func() {
+						defer c.Close()
+						in := bufio.NewReader(c)
+						for {
+							r, err := http.ReadRequest(in)
+							if err != nil {
+								return
+							}
+							requests.Add(1)
+							fields.Add(int64(len(r.Header["A"])))
+							n, err := io.Copy(io.Discard, r.Body)
+							switch {
+							case err != nil && n == r.ContentLength-1:
+								shortBodies.Add(1)
+							case err != nil && r.ContentLength < 0:
+								openBodies.Add(1)
+							}
+							if load == UnreadPipeline || err != nil {
+								continue
+							}
+							_, err = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n%s", make([]byte, 16<<20))
+							if err == nil {
+								answered.Add(1)
+							}
+							return
+						}
+					})
+				}
+			})
+			ctx, stop := context.WithTimeout(t.Context(), 700*time.Millisecond)
+			defer stop()
+			Clients{Load: load, Connections: 4, Path: "/open", Seed: 1}.run(ctx, ln.Addr().String())
+			ln.Close()
+			wg.Wait()
+			got := map[ClientLoad]bool{
+				ShortBody: shortBodies.Load() > 0, EndlessChunks: openBodies.Load() > 0, UnreadPipeline: requests.Load() > 16,
+				ManyFields: fields.Load() > 1000, SlowReader: requests.Load() > 0 && answered.Load() == 0,
+			}
+			qt.Check(t, got[load], qt.IsTrue, qt.Commentf("%d requests, %d fields, %d short and %d open bodies, %d answered",
+				requests.Load(), fields.Load(), shortBodies.Load(), openBodies.Load(), answered.Load()))
+		})
+	}
+}
+
+// Guards against a process whose crash passes for a node that was not running.
+func TestExitByItselfIsRecorded(t *testing.T) {
+	p := &process{name: "n0", program: "/bin/sh", dir: t.TempDir(), args: []string{"-c", "exit 3"}}
+	qt.Assert(t, p.start(), qt.IsNil)
+	<-p.exited
+	qt.Check(t, p.exits, qt.DeepEquals, []string{"n0 exited by itself: exit status 3"})
+	p.args = []string{"-c", "sleep 60"}
+	qt.Assert(t, p.start(), qt.IsNil)
+	qt.Assert(t, p.terminate(syscall.SIGTERM, killTimeout), qt.IsNil)
+	qt.Check(t, p.exits, qt.HasLen, 1)
+}
+
 // TestViolationsFindsEachBrokenGuarantee has a violation of each guarantee, and
 // cases that look alike but are allowed.
 func TestViolationsFindsEachBrokenGuarantee(t *testing.T) {
@@ -71,11 +167,13 @@
 		{"withdrawn key used", "withdrawn key", observations(nil, outcome(func(o *loadgenerator.Outcome) { o.CallIndex = oldKeyCall }))},
 		{"key withdrawn just before", "", observations(nil, outcome(func(o *loadgenerator.Outcome) { o.CallIndex, o.Due = oldKeyCall, at(16*time.Second) }))},
 		{"broken by a planned stop", "only planned steps", observations([]Step{{Kind: StopNode, At: 19 * time.Second, Duration: 3 * time.Second}}, broken)},
+		{"broken by misbehaving clients", "only planned steps", observations([]Step{{Kind: Misbehave, At: 19 * time.Second, Duration: 3 * time.Second}}, broken)},
 		{"broken by a kill", "", observations([]Step{{Kind: KillNode, At: 12 * time.Second, Duration: time.Second}}, broken)},
 		{"refused after the recovery deadline", "after the recovery deadline", observations(nil, outcome(func(o *loadgenerator.Outcome) { o.Kind, o.Due = loadgenerator.Refused, at(61*time.Second) }))},
 		{"shop above its rate", "beyond its rate", observations(nil, shop...)},
 		{"key at a target", "held a key", &Observations{Counts: []faker.TargetCounts{{LeakedKeys: 1}}}},
 		{"too many requests at a cold target", "cold target", &Observations{Counts: []faker.TargetCounts{{AboveColdLimit: 2}}}},
+		{"process exited", "by itself", &Observations{Exits: []string{"n1 exited by itself"}}},
 		{"configuration reverted", "went back", &Observations{Reverts: []string{"n1 went back"}}},
 	} {
 		safety, availability := c.observations.Violations()
--- a/internal/soaker/violations.go
+++ b/internal/soaker/violations.go
@@ -38,13 +38,15 @@
 	// Reverts describes nodes that returned to an earlier configuration, Failures
 	// the steps that failed, such as a node that did not stop.
 	Reverts, Failures []string
+	// Exits describes processes that ended without a signal of the soak.
+	Exits []string
 }
 
 // Violations describes each violation of a safety guarantee, which must hold on
 // any machine, and of an availability guarantee, which may fail on an overloaded
 // machine.
 func (ob *Observations) Violations() (safety, availability []string) {
-	safety, availability = slices.Clone(ob.Reverts), slices.Clone(ob.Failures)
+	safety, availability = slices.Concat(ob.Reverts, ob.Exits), slices.Clone(ob.Failures)
 	runs := map[string]int{}
 	for _, r := range ob.Runs {
 		runs[r.Token]++
--- a/scripts/soak/main.go
+++ b/scripts/soak/main.go
@@ -3,7 +3,7 @@
 // the logs, table and plot of each run that violated a guarantee, and exits with 1
 // if any did.
 //
-//	go run ./scripts/soak [-seeds N] [-first SEED] [-at N] [-nodes N] [-steps N] [-keep DIR]
+//	go run ./scripts/soak [-seeds N] [-first SEED] [-at N] [-nodes N] [-steps N] [-clients N] [-keep DIR]
 package main
 
 import (
@@ -37,11 +37,11 @@
 )
 
 type flags struct {
-	seeds, concurrent, nodes, steps, restorations int
-	firstSeed                                     uint64
-	faultPeriod, recoveryTime                     time.Duration
-	keepDir                                       string
-	keepAll, safetyOnly                           bool
+	seeds, concurrent, nodes, steps, restorations, clients int
+	firstSeed                                              uint64
+	faultPeriod, recoveryTime                              time.Duration
+	keepDir                                                string
+	keepAll, safetyOnly                                    bool
 }
 
 func main() {
@@ -52,6 +52,7 @@
 	flag.IntVar(&f.nodes, "nodes", 4, "nodes per run, each with a target")
 	flag.IntVar(&f.steps, "steps", 16, "steps per run")
 	flag.IntVar(&f.restorations, "restorations", 1, "restorations of the store from an older copy per run, besides the steps")
+	flag.IntVar(&f.clients, "clients", 4, "loads by misbehaving clients per run, besides the steps")
 	flag.DurationVar(&f.faultPeriod, "chaos", 30*time.Second, "period within which steps begin")
 	flag.DurationVar(&f.recoveryTime, "calm", 30*time.Second, "time that the fleet then has to recover")
 	flag.StringVar(&f.keepDir, "keep", "", "directory for the logs of runs that violated a guarantee (default soak-kept in the temporary directory)")
@@ -128,7 +129,7 @@
 	}
 	s := &soaker.Soaker{
 		Program: program, Dir: runDir, AddressPrefix: addresses,
-		Parameters: soaker.Parameters{Seed: seed, Nodes: f.nodes, Steps: f.steps, Restorations: f.restorations, FaultPeriod: f.faultPeriod, RecoveryTime: f.recoveryTime},
+		Parameters: soaker.Parameters{Seed: seed, Nodes: f.nodes, Steps: f.steps, Restorations: f.restorations, ClientLoads: f.clients, FaultPeriod: f.faultPeriod, RecoveryTime: f.recoveryTime},
 	}
 	observations, err := s.Run(ctx)
 	var violations []string
