--- a/internal/exithandler/status_test.go
+++ b/internal/exithandler/status_test.go
@@ -146,30 +146,33 @@
 	fields := []string{
 		"Content-Length: 0\r\n", "Content-Length: 4\r\n", "Connection: Upgrade\r\nUpgrade: other\r\n", RanHeader + ": no\r\nContent-Length: 0\r\n",
 	}
-	for i, line := range spoiledStatusLines {
-		for _, later := range []bool{false, true} {
+	for _, line := range spoiledStatusLines {
+		for _, idle := range []time.Duration{newConnection, 0, 2 * minIdleTime} {
 			for _, once := range []bool{false, true} {
-				t.Run(fmt.Sprintf("%q later %v once %v", line, later, once), func(t *testing.T) {
-					for j, interim := range interims {
-						field := fields[(i+j)%len(fields)]
-						checkSpoiledStatus(t, interim+line+"\r\n"+RequestHeader+": spoiled\r\n"+field+"\r\n", later, once)
+				t.Run(fmt.Sprintf("%q idle %v once %v", line, idle, once), func(t *testing.T) {
+					for _, interim := range interims {
+						for _, field := range fields {
+							checkSpoiledStatus(t, interim+line+"\r\n"+RequestHeader+": spoiled\r\n"+field+"\r\n", idle, once)
+						}
 					}
 				})
 			}
 		}
 	}
-	for _, field := range fields {
-		checkSpoiledStatus(t, "HTTP/1.1 000 None\r\n"+RequestHeader+": spoiled\r\n"+field+"\r\n", true, false)
-	}
 }
 
-func checkSpoiledStatus(t *testing.T, spoiled string, later, once bool) {
+// newConnection stands for a connection without an earlier request.
+const newConnection time.Duration = -1
+
+// checkSpoiledStatus sends a call that gets a spoiled response, after the connection
+// was idle for a time.
+func checkSpoiledStatus(t *testing.T, spoiled string, idle time.Duration, once bool) {
 	target := &spoilingTarget{spoiled: spoiled, echo: true}
 	withSpoilingTarget(t, target, func(t *testing.T, s *Sender) {
-		if later {
+		if idle != newConnection {
 			_, err := sendOne(s, "first")
 			qt.Check(t, err, qt.IsNil)
-			time.Sleep(2 * minIdleTime)
+			time.Sleep(idle)
 		}
 		body, err := sendCall(s, &messenger.Call{Request: "spoiled", Method: http.MethodGet, URI: "/", Once: once})
 		qt.Check(t, err, qt.IsNotNil, qt.Commentf("response %q to %q", body, spoiled))
