--- a/internal/breaker/calibration.go
+++ b/internal/breaker/calibration.go
@@ -7,9 +7,6 @@
 
 // Parameters of the calibration.
 const (
-	// calibrationBins is how many equal ranges of the model's risk are calibrated
-	// on their own.
-	calibrationBins = 5
 	// priorOutcomes is how many calls the model's own prediction counts for.
 	priorOutcomes = 8
 	// calibrationTime is the time in which the weight of an outcome decays to 1/e:
@@ -17,6 +14,13 @@
 	calibrationTime = 15 * time.Second
 )
 
+// calibrationEdges are the upper ends of the ranges of the model's risk, each of
+// which is calibrated on its own. Low risks, between which the choice of a target
+// lies on calm days, are told apart more finely.
+var calibrationEdges = [...]float64{0.02, 0.05, 0.1, 0.2, 0.4, 0.7, 0.95, 1}
+
+const calibrationBins = len(calibrationEdges)
+
 // calibration corrects the model's risk by what became of the calls that were
 // admitted at such a risk. The model takes running calls as independent, but they
 // are late together when their target is slow or nearly full, so that it is far
@@ -32,7 +36,12 @@
 }
 
 func calibrationBin(risk float64) int {
-	return min(int(risk*calibrationBins), calibrationBins-1)
+	for i, edge := range calibrationEdges {
+		if risk < edge {
+			return i
+		}
+	}
+	return calibrationBins - 1
 }
 
 func (o *outcomeCounts) decay(now time.Time) {
--- a/internal/loadprober/trouble.go
+++ b/internal/loadprober/trouble.go
@@ -11,8 +11,9 @@
 
 const (
 	// outcomeDecayTime is the time in which the weight of an outcome decays to
-	// 1/e.
-	outcomeDecayTime = 2 * time.Second
+	// 1/e. An entry node of a large fleet makes one or two attempts a second, and
+	// needs several to tell.
+	outcomeDecayTime = 5 * time.Second
 	// maxCalmFailures is the share of failed attempts above which a service or a
 	// route is in trouble.
 	maxCalmFailures = 0.08
--- a/internal/picker/service.go
+++ b/internal/picker/service.go
@@ -23,9 +23,12 @@
 	// data centre gets while the own one has room.
 	minRemoteFraction = 0.02
 	// Above a load of spillStartLoad in the own data centre, where calls begin to
-	// wait for slots, the weights of the other ones rise, up to their full weight
-	// at spillFullLoad.
-	spillStartLoad, spillFullLoad = 0.8, 1.2
+	// wait for slots, the weights of less loaded ones rise, up to their full weight
+	// at a difference of spillRange.
+	spillStartLoad, spillRange = 0.8, 0.4
+	// minSpillDifference is by how much the load of another data centre must be
+	// lower. Between equally full ones, calls would only change places.
+	minSpillDifference = 0.1
 	// meanLoadSmoothing divides the step by which a report moves the mean load
 	// of its data centre.
 	meanLoadSmoothing = 16
@@ -129,10 +132,7 @@
 			ownCapacity += e.capacity
 		}
 	}
-	remoteFraction := 1.0
-	if ownCapacity > 0 {
-		remoteFraction = s.spillFraction((*load)(s.meanLoad(ownCentre)).current(now))
-	}
+	ownLoad := (*load)(s.meanLoad(ownCentre)).current(now)
 	for i := range s.eligible {
 		e := &s.eligible[i]
 		e.weight = e.capacity * returns.rampFraction(e.target.Centre, now)
@@ -140,16 +140,16 @@
 			e.weight *= reducedFraction
 		}
 		e.evenWeight = e.weight
-		if e.target.Centre != ownCentre {
-			e.weight *= remoteFraction
+		if e.target.Centre != ownCentre && ownCapacity > 0 {
+			e.weight *= spillFraction(ownLoad, (*load)(s.meanLoad(e.target.Centre)).current(now))
 		}
 	}
 }
 
-// spillFraction returns the fraction of their weight that targets of other data
-// centres get at a load of the own data centre.
-func (s *service) spillFraction(load float64) float64 {
-	fraction := (load - spillStartLoad) / (spillFullLoad - spillStartLoad)
+// spillFraction returns the fraction of their weight that the targets of another
+// data centre get at its load and that of the own one.
+func spillFraction(ownLoad, load float64) float64 {
+	fraction := (ownLoad - max(spillStartLoad, load+minSpillDifference)) / spillRange
 	return minRemoteFraction + (1-minRemoteFraction)*min(max(fraction, 0), 1)
 }
 
