queuer: inner requests first, then ranks, each with a minimum share

The rank of a call decided nothing at its exit node: a burst of the least urgent kind made all kinds of a workspace wait alike. Tickets now form classes by inner request, rank and deferrable; the fair order of workspaces holds within a class, and a class gets a ninth of the slot time of more urgent ones. The expected wait counts only what is served before a ticket, a full queue refuses the least urgent tickets first, and a ticket may have a waiting time of its own. A ticket can be postponed without losing its place, and a slot that no request used does not count for the mean cost; reservations need both.

--- a/internal/queuer/dispatch.go
+++ b/internal/queuer/dispatch.go
@@ -8,8 +8,9 @@
 	"github.com/zinniaproxy/zinniaproxy/pkg/coder"
 )
 
-// dispatch gives out free slots in fair order. The caller holds the lock, as
-// for all functions of this file but prune.
+// dispatch gives out free slots in the order of the classes, and in fair order
+// within each. The caller holds the lock, as for all functions of this file but
+// prune.
 func (q *Queuer) dispatch(now time.Time) {
 	limit := q.Limit()
 	for q.inFlight < limit {
@@ -17,40 +18,75 @@
 		if f == nil {
 			return
 		}
-		w := f.queue[0]
+		w := f.first()
 		if err := q.checkDeadline(w, 0, now); err != nil {
 			q.remove(w)
 			w.result <- err
 			continue
 		}
-		q.start(w, now)
+		if q.postpone(w) == nil {
+			q.start(w, now)
+		}
 	}
 }
 
-// next returns the flow to serve, or nil.
+// postpone asks a ticket whether it must not start now, and records the
+// answer.
+func (q *Queuer) postpone(w *waiter) (err error) {
+	if w.ticket.Postpone != nil {
+		err = w.ticket.Postpone()
+		w.flow.setPostponed(w, err != nil)
+	}
+	return err
+}
+
+// next returns the flow to serve, or nil: of the most urgent class, unless the
+// minimum share of a less urgent one is due.
 func (q *Queuer) next(limit int, now time.Time) *flow {
 	eligible := func(f *flow) bool { return q.mayStart(f, limit, now) }
-	urgent, deferrable := q.urgent.next(eligible), q.deferrable.next(eligible)
-	switch {
-	case urgent == nil:
-		return deferrable
-	case deferrable == nil:
-		return urgent
-	case q.deferrableDebt >= deferrable.costOr(q.expectedCost()):
-		return deferrable
-	}
-	return urgent
+	var first *flow
+	for _, c := range q.classes {
+		f := c.next(eligible)
+		switch {
+		case f == nil:
+		case first == nil:
+			first = f
+		case c.debt >= f.costOr(q.expectedCost()):
+			return f
+		}
+	}
+	return first
 }
 
-// updateDebt accounts for slot time of one class while the other one was queued
+// setCompetitors records the other classes with tickets that could start when a
+// waiter does.
+func (q *Queuer) setCompetitors(w *waiter) {
+	for _, c := range q.classes {
+		order := c.priority.compare(w.flow.class.priority)
+		if order == 0 || c.startable() == 0 {
+			continue
+		}
+		if order < 0 {
+			w.contested = true
+		} else {
+			w.yielding = append(w.yielding, c)
+		}
+	}
+}
+
+// updateDebts accounts for slot time of one class while others had tickets queued
 // too.
-func (q *Queuer) updateDebt(w *waiter, work float64) {
-	switch {
-	case !w.contested:
-	case w.ticket.Deferrable:
-		q.deferrableDebt -= work
-	default:
-		q.deferrableDebt += work * minDeferrableRatio
+func (q *Queuer) updateDebts(w *waiter, work float64) {
+	if w.contested {
+		w.flow.class.debt -= work
+	}
+	for _, c := range w.yielding {
+		c.debt += work * minShareRatio
+	}
+	for _, c := range q.classes {
+		if c.queued == 0 {
+			c.debt = 0
+		}
 	}
 }
 
@@ -83,7 +119,7 @@
 // slowSlots returns how many slots slow flows hold.
 func (q *Queuer) slowSlots(now time.Time) int {
 	held := 0
-	for _, c := range q.classes() {
+	for _, c := range q.classes {
 		for _, f := range c.flows {
 			if q.isSlow(f, now) {
 				held += len(f.running)
@@ -94,10 +130,14 @@
 }
 
 // activeQuickWeight returns the sum of the weights of the other flows that are
-// active and not slow.
+// active and not slow. Flows of lower ranks are left out: no slots are reserved
+// for them.
 func (q *Queuer) activeQuickWeight(f *flow, now time.Time) float64 {
 	sum := 0.0
-	for _, c := range q.classes() {
+	for _, c := range q.classes {
+		if !c.priority.deferrable && c.priority.compare(f.class.priority) > 0 {
+			break
+		}
 		for _, g := range c.flows {
 			if g != f && now.Sub(g.lastTicket) < activeWindow && !q.isSlow(g, now) {
 				sum += g.weight
@@ -123,29 +163,30 @@
 	c.virtualTime = f.startTag()
 	w.chargedCost = f.costOr(q.expectedCost())
 	f.finishTag = max(f.finishTag, c.virtualTime) + w.chargedCost/f.weight
-	w.contested = q.class(!w.ticket.Deferrable).hasQueued()
-	q.updateDebt(w, w.chargedCost)
-	if !q.deferrable.hasQueued() {
-		q.deferrableDebt = 0
-	}
+	q.setCompetitors(w)
+	q.updateDebts(w, w.chargedCost)
 	w.started = now
 	f.running = append(f.running, w)
 	q.inFlight++
+	if w.ticket.Started != nil {
+		w.ticket.Started()
+	}
 	w.result <- nil
 }
 
-// finish releases a slot and corrects the charge to the actual cost.
-func (q *Queuer) finish(w *waiter, heldSeconds float64) {
+// finish releases a slot and corrects the charge to the actual cost. The time of
+// a slot that was not used says nothing about the cost of requests.
+func (q *Queuer) finish(w *waiter, heldSeconds float64, used bool) {
 	f := w.flow
 	q.updateQuickSlots(time.Now())
 	f.finishTag += (heldSeconds - w.chargedCost) / f.weight
-	if q.deferrable.hasQueued() {
-		q.updateDebt(w, heldSeconds-w.chargedCost)
-	}
+	q.updateDebts(w, heldSeconds-w.chargedCost)
 	f.running = slices.DeleteFunc(f.running, func(r *waiter) bool { return r == w })
 	q.inFlight--
-	f.recordCost(heldSeconds)
-	q.recordCost(heldSeconds)
+	if used {
+		f.recordCost(heldSeconds)
+		q.recordCost(heldSeconds)
+	}
 }
 
 func (q *Queuer) recordCost(heldSeconds float64) {
@@ -159,10 +200,10 @@
 	}
 }
 
-// updateMedianCost updates medianCost and the credit of both classes.
+// updateMedianCost updates medianCost and the credit of all classes.
 func (q *Queuer) updateMedianCost() {
 	var costs []float64
-	for _, c := range q.classes() {
+	for _, c := range q.classes {
 		c.credit = creditRequests * q.meanCost
 		for _, f := range c.flows {
 			if f.meanCost > 0 {
@@ -185,44 +226,82 @@
 	return q.meanCost
 }
 
-// expectedWait returns how long a ticket at a position of its flow's queue will
-// wait if no others arrive: the work that fair order puts before it, divided by
-// the slots.
+// expectedWait returns how long a ticket with a number of tickets of its own flow
+// before it will wait if no others arrive: the work that is served before it,
+// divided by the slots. More urgent classes count with all of their work, but at
+// most with what the minimum share of the ticket's class leaves them meanwhile.
 func (q *Queuer) expectedWait(f *flow, position int) time.Duration {
 	cost, limit := q.expectedCost(), q.Limit()
-	if q.inFlight < limit && q.queued == 0 {
+	if q.inFlight < limit && q.startable() == 0 {
 		return 0
 	}
-	ownWork := float64(position) * f.costOr(cost)
-	work := f.class.workBefore(f, ownWork, cost)
-	if f.class == &q.deferrable {
-		work += min(q.urgent.backlog(cost), work/minDeferrableRatio)
+	work := f.class.workBefore(f, float64(position)*f.costOr(cost), cost)
+	urgentWork := 0.0
+	for _, c := range q.moreUrgent(f.class) {
+		urgentWork += c.backlog(cost)
 	}
+	work += min(urgentWork, (work+f.costOr(cost))/minShareRatio)
 	return seconds(work / float64(limit))
 }
 
+// place returns how many tickets are served before a new ticket of a flow, if no
+// others arrive. Minimum shares of less urgent classes are left out.
+func (q *Queuer) place(f *flow) int {
+	cost, position := q.expectedCost(), f.startable()
+	n := position + f.class.ticketsBefore(f, float64(position)*f.costOr(cost), cost)
+	for _, c := range q.moreUrgent(f.class) {
+		n += c.startable()
+	}
+	return n
+}
+
+// moreUrgent returns the classes that are more urgent than one.
+func (q *Queuer) moreUrgent(c *class) []*class {
+	return q.classes[:slices.Index(q.classes, c)]
+}
+
+// startable returns how many queued tickets are not postponed.
+func (q *Queuer) startable() (n int) {
+	for _, c := range q.classes {
+		n += c.startable()
+	}
+	return n
+}
+
 // checkWait returns the refusal of a ticket that must not wait or whose slot is
-// not expected in time, or nil.
+// not expected in time, or nil. A ticket that may be postponed waits for a target
+// that hangs until its time has passed.
 func (q *Queuer) checkWait(w *waiter, position int, now time.Time) error {
 	if w.ticket.Refuse != nil {
 		if err := w.ticket.Refuse(); err != nil {
 			return err
 		}
 	}
-	if q.stalled(now) {
+	postponed := q.postpone(w)
+	if w.ticket.Postpone == nil && q.stalled(now) {
 		return q.refusal("the target is stalled", minStallTime)
 	}
 	wait := q.expectedWait(w.flow, position)
-	timeout := q.Timeout
-	if w.ticket.Deferrable {
-		timeout = q.DeferrableTimeout
-	}
-	if now.Sub(w.enqueued)+wait > timeout {
+	if now.Sub(w.enqueued)+wait > q.maxWait(w.ticket) {
+		if postponed != nil {
+			return postponed
+		}
 		return q.refusal("the expected wait exceeds the queue timeout", wait)
 	}
 	return q.checkDeadline(w, wait, now)
 }
 
+// maxWait returns how long a ticket may wait.
+func (q *Queuer) maxWait(t Ticket) time.Duration {
+	switch {
+	case t.MaxWait > 0:
+		return t.MaxWait
+	case t.Deferrable:
+		return q.DeferrableTimeout
+	}
+	return q.Timeout
+}
+
 // checkDeadline returns the refusal of a ticket that would start too late to be
 // done by its deadline, or nil. A request is expected to take up to twice the
 // flow's mean; a ticket that has half of its time left at its start is never
@@ -272,23 +351,25 @@
 		return
 	}
 	q.lastPrune = now
-	for _, c := range q.classes() {
+	for _, c := range q.classes {
 		for _, f := range c.flows {
 			q.pruneFlow(f, now)
 		}
-		c.dropIdleFlows(now)
 	}
+	q.dropIdle(now)
 	q.dispatch(now)
 }
 
 func (q *Queuer) pruneFlow(f *flow, now time.Time) {
-	for position := 0; position < len(f.queue); {
-		w := f.queue[position]
+	position := 0
+	for _, w := range slices.Clone(f.queue) {
 		if err := q.checkWait(w, position, now); err != nil {
 			q.remove(w)
 			w.result <- err
 			continue
 		}
-		position++
+		if !w.postponed {
+			position++
+		}
 	}
 }
--- a/internal/queuer/flow.go
+++ b/internal/queuer/flow.go
@@ -18,8 +18,15 @@
 	// chargedCost is the cost in seconds that the flow was charged at the
 	// start.
 	chargedCost float64
-	// contested is whether the other class had requests queued at the start.
+	// contested is whether a more urgent class had tickets that could start when
+	// this one did, and yielding holds the less urgent classes that had.
 	contested bool
+	yielding  []*class
+	// postponed is whether Ticket.Postpone kept the ticket from starting when it
+	// was last asked.
+	postponed bool
+	// queued is whether the ticket is in its flow's queue.
+	queued bool
 	// started is when the ticket got its slot.
 	started time.Time
 }
@@ -35,23 +42,14 @@
 	// slot; 0 if unknown.
 	meanCost float64
 	queue    []*waiter
+	// postponed is how many waiters in queue are postponed.
+	postponed int
 	// running holds the waiters that have a slot, oldest first.
 	running []*waiter
 	// lastTicket is when the last ticket arrived.
 	lastTicket time.Time
 }
 
-// class holds the flows of all deferrable requests, or of all urgent ones.
-type class struct {
-	// virtualTime is the start tag of the flow that was last served. It never
-	// decreases.
-	virtualTime float64
-	// credit is the work in seconds that a flow of weight 1 may run ahead of
-	// its share.
-	credit float64
-	flows  map[string]*flow
-}
-
 // startTag returns the virtual time at which the flow's next work would start.
 // A flow may run ahead of its share by a small credit, so that one within its
 // share is not delayed for a short burst.
@@ -59,9 +57,23 @@
 	return max(f.finishTag-f.class.credit/f.weight, f.class.virtualTime)
 }
 
-// backlog returns the work in seconds that the flow has queued.
+// backlog returns the work in seconds that the flow has queued, without
+// postponed tickets.
 func (f *flow) backlog(fallbackCost float64) float64 {
-	return float64(len(f.queue)) * f.costOr(fallbackCost)
+	return float64(f.startable()) * f.costOr(fallbackCost)
+}
+
+// startable returns how many queued tickets are not postponed.
+func (f *flow) startable() int { return len(f.queue) - f.postponed }
+
+// first returns the first queued waiter that is not postponed, or nil.
+func (f *flow) first() *waiter {
+	for _, w := range f.queue {
+		if !w.postponed {
+			return w
+		}
+	}
+	return nil
 }
 
 // costOr returns the flow's mean cost, or fallback when it has none yet.
@@ -90,6 +102,16 @@
 	f.meanCost += (heldSeconds - f.meanCost) / costSmoothing
 }
 
+// add puts a waiter at the end of the queue.
+func (f *flow) add(w *waiter) {
+	f.queue = append(f.queue, w)
+	f.class.queued++
+	w.queued = true
+	if w.postponed {
+		f.postponed++
+	}
+}
+
 // remove takes a waiter out of the queue, and reports whether it was queued.
 func (f *flow) remove(w *waiter) bool {
 	i := slices.Index(f.queue, w)
@@ -97,86 +119,22 @@
 		return false
 	}
 	f.queue = slices.Delete(f.queue, i, i+1)
-	return true
-}
-
-// flow returns the flow of a ticket's workspace, creating it if it is new.
-func (c *class) flow(t Ticket, now time.Time) *flow {
-	f := c.flows[t.Workspace]
-	if f == nil {
-		f = &flow{workspace: t.Workspace, class: c}
-		c.flows[t.Workspace] = f
-	}
-	f.weight, f.lastTicket = float64(max(t.Weight, 1)), now
-	return f
-}
-
-// next returns the flow with the lowest start tag among those that have
-// requests queued and are eligible, or nil.
-func (c *class) next(eligible func(*flow) bool) *flow {
-	var best *flow
-	for _, f := range c.flows {
-		if len(f.queue) == 0 || !eligible(f) {
-			continue
-		}
-		if best == nil || f.before(best) {
-			best = f
-		}
+	f.class.queued--
+	w.queued = false
+	if w.postponed {
+		f.postponed--
 	}
-	return best
-}
-
-// before orders flows with requests queued: by start tag, then by age of the
-// first ticket, then by name.
-func (f *flow) before(g *flow) bool {
-	if f.startTag() != g.startTag() {
-		return f.startTag() < g.startTag()
-	}
-	a, b := f.queue[0].enqueued, g.queue[0].enqueued
-	if !a.Equal(b) {
-		return a.Before(b)
-	}
-	return f.workspace < g.workspace
-}
-
-// workBefore returns the work in seconds that fair order serves before the flow
-// has been served ownWork seconds, including these: each other flow counts with
-// its backlog, but at most with what its weight entitles it to meanwhile.
-func (c *class) workBefore(f *flow, ownWork, fallbackCost float64) float64 {
-	work := ownWork
-	for _, g := range c.flows {
-		if g != f {
-			work += min(g.backlog(fallbackCost), ownWork*g.weight/f.weight)
-		}
-	}
-	return work
-}
-
-// backlog returns the work in seconds that the class has queued.
-func (c *class) backlog(fallbackCost float64) float64 {
-	work := 0.0
-	for _, f := range c.flows {
-		work += f.backlog(fallbackCost)
-	}
-	return work
-}
-
-// hasQueued reports whether any request of the class is queued.
-func (c *class) hasQueued() bool {
-	for _, f := range c.flows {
-		if len(f.queue) > 0 {
-			return true
-		}
-	}
-	return false
+	return true
 }
 
-// dropIdleFlows removes the flows that have been idle for longer than
-// idleFlowLifetime.
-func (c *class) dropIdleFlows(now time.Time) {
-	for k, f := range c.flows {
-		if len(f.queue) == 0 && len(f.running) == 0 && now.Sub(f.lastTicket) > idleFlowLifetime {
-			delete(c.flows, k)
-		}
+// setPostponed records whether a waiter of the flow is postponed.
+func (f *flow) setPostponed(w *waiter, postponed bool) {
+	switch {
+	case !w.queued || w.postponed == postponed:
+	case postponed:
+		f.postponed++
+	default:
+		f.postponed--
 	}
+	w.postponed = postponed
 }
--- a/internal/queuer/queuer.go
+++ b/internal/queuer/queuer.go
@@ -1,12 +1,14 @@
-// Package queuer gives out the slots of one target, at its exit node, fairly
-// among workspaces: by the time that their requests hold a slot, not by the
-// number of requests. Deferrable requests yield to urgent ones, but keep a
-// minimum share. A request that is not expected to get its slot in time is
-// refused at once.
+// Package queuer gives out the slots of one target, at its exit node. Inner
+// requests come first, then requests by rank, and deferrable ones last; each class
+// keeps a minimum share. Within a class, slots are given out fairly among
+// workspaces: by the time that their requests hold a slot, not by the number of
+// requests. A request that is not expected to get its slot in time is refused at
+// once.
 package queuer
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -26,9 +28,9 @@
 )
 
 const (
-	// minDeferrableRatio is the slot time that deferrable requests get at least
-	// for each unit of slot time of urgent ones, when both are queued.
-	minDeferrableRatio = 1.0 / 9
+	// minShareRatio is the slot time that a class gets at least for each unit of
+	// slot time of more urgent ones, when both have requests queued.
+	minShareRatio = 1.0 / 9
 	// costSmoothing divides the step of a flow's moving mean cost.
 	costSmoothing = 8
 	// initialCostSeconds is the cost assumed before any was measured.
@@ -67,14 +69,30 @@
 	Workspace string
 	// Weight is the workspace's share relative to others, at least 1.
 	Weight int
+	// Rank is the priority of the request: 0 is the highest.
+	Rank int
+	// Inner is whether the request was sent by a target that is running another
+	// request, which holds a slot meanwhile.
+	Inner bool
 	// Deferrable is whether the request yields to urgent ones.
 	Deferrable bool
+	// MaxWait bounds the time in the queue; 0 means the queue's Timeout, or
+	// DeferrableTimeout for a deferrable ticket.
+	MaxWait time.Duration
 	// Deadline is when the response is no longer useful. Zero is never.
 	Deadline time.Time
 	// Refuse returns why the ticket must not wait any longer, or nil. It is
 	// called on arrival and on each prune, with the queue's lock held. It may
 	// be nil.
 	Refuse func() error
+	// Postpone returns why the ticket must not start now, or nil. The ticket stays
+	// queued, also while the target is stalled, and is refused with this error
+	// once its time has passed. It is called on arrival, on each prune and before
+	// the start, with the queue's lock held. It may be nil.
+	Postpone func() error
+	// Started is called when the ticket gets its slot, with the queue's lock held.
+	// It may be nil.
+	Started func()
 	// Bytes is the memory that the request holds while it is queued.
 	Bytes int
 }
@@ -90,14 +108,12 @@
 	// MaxTickets and MaxBytes bound the memory of the queue.
 	MaxTickets, MaxBytes int
 
-	mu                 sync.Mutex
-	urgent, deferrable class
-	// deferrableDebt is the slot time in seconds that is due to deferrable
-	// requests. It is 0 when none is queued.
-	deferrableDebt float64
-	inFlight       int
-	queued         int
-	queuedBytes    int
+	mu sync.Mutex
+	// classes are sorted by priority, the most urgent first.
+	classes     []*class
+	inFlight    int
+	queued      int
+	queuedBytes int
 	// meanCost is the moving mean of the cost in seconds over all requests; 0
 	// if unknown.
 	meanCost float64
@@ -125,6 +141,30 @@
 	return State{Queue: q.queued, InFlight: q.inFlight, Limit: q.Limit()}
 }
 
+// AddWaiting adds the number of queued tickets of each rank to a table. Ranks
+// beyond its end count for the last entry.
+func (q *Queuer) AddWaiting(byRank []int) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, c := range q.classes {
+		byRank[min(max(c.priority.rank, 0), len(byRank)-1)] += c.queued
+	}
+}
+
+// MeanCost returns the mean time that the requests of a ticket's workspace and
+// priority hold a slot, or that of all requests if it is not known.
+func (q *Queuer) MeanCost(t Ticket) time.Duration {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	cost := q.expectedCost()
+	for _, c := range q.classes {
+		if f := c.flows[t.Workspace]; f != nil && c.priority == t.priority() {
+			cost = f.costOr(cost)
+		}
+	}
+	return seconds(cost)
+}
+
 // StartQueued starts the queued requests that a higher limit allows.
 func (q *Queuer) StartQueued() {
 	q.mu.Lock()
@@ -133,18 +173,55 @@
 	q.dispatch(time.Now())
 }
 
-// Acquire waits for a slot. On success, release must be called when the target
-// is done with the request; further calls do nothing. The error is that of
-// Ticket.Refuse or a *coder.Error: QueueTimeout with the time after which a
-// slot is likely, DeadlineBefore, or Canceled when ctx was canceled.
+// Slot is a slot of the target that a ticket got.
+type Slot struct {
+	// Place is how many tickets were to be served before this one when it arrived,
+	// and Waited how long it was queued.
+	Place  int
+	Waited time.Duration
+
+	release func(used bool)
+}
+
+// Release releases the slot when the target is done with the request. Further
+// calls of Release or Cancel do nothing.
+func (s Slot) Release() { s.release(true) }
+
+// Cancel releases a slot that no request used.
+func (s Slot) Cancel() { s.release(false) }
+
+// Acquire is like AcquireSlot, and returns the slot's Release.
 func (q *Queuer) Acquire(ctx context.Context, t Ticket) (release func(), err error) {
-	w, err := q.enqueue(t)
+	s, err := q.AcquireSlot(ctx, t)
 	if err != nil {
 		return nil, err
 	}
+	return s.Release, nil
+}
+
+// AcquireSlot waits for a slot, which must be released. The error is that of
+// Ticket.Refuse or Ticket.Postpone, or a *coder.Error: QueueTimeout with the time
+// after which a slot is likely, DeadlineBefore, or Canceled when ctx was canceled.
+// With an error, Place and Waited are set too, and there is no slot to release.
+func (q *Queuer) AcquireSlot(ctx context.Context, t Ticket) (Slot, error) {
+	w, place, err := q.enqueue(t)
+	s := Slot{Place: place}
+	if err != nil {
+		return s, err
+	}
+	err = q.await(ctx, w)
+	s.Waited = time.Since(w.enqueued)
+	if err == nil {
+		s.release = q.release(w)
+	}
+	return s, err
+}
+
+// await waits for the result of a queued ticket.
+func (q *Queuer) await(ctx context.Context, w *waiter) error {
 	select {
 	case err := <-w.result:
-		return q.outcome(w, err)
+		return err
 	default:
 	}
 	tick := time.NewTicker(minPruneInterval)
@@ -152,43 +229,42 @@
 	for {
 		select {
 		case err := <-w.result:
-			return q.outcome(w, err)
+			return err
 		case <-tick.C:
 			q.prune()
 		case <-ctx.Done():
-			return nil, q.abandon(ctx, w)
+			return q.abandon(ctx, w)
 		}
 	}
 }
 
 // enqueue queues a ticket, or refuses it when its slot is not expected in time.
-func (q *Queuer) enqueue(t Ticket) (*waiter, error) {
+func (q *Queuer) enqueue(t Ticket) (w *waiter, place int, err error) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.setDefaults()
 	now := time.Now()
-	f := q.class(t.Deferrable).flow(t, now)
-	w := &waiter{ticket: t, flow: f, enqueued: now, result: make(chan error, 1)}
-	if err := q.checkWait(w, len(f.queue), now); err != nil {
-		return nil, err
+	f := q.class(t.priority()).flow(t, now)
+	place = q.place(f)
+	w = &waiter{ticket: t, flow: f, enqueued: now, result: make(chan error, 1)}
+	if err := q.checkWait(w, f.startable(), now); err != nil {
+		return nil, place, err
 	}
 	if !q.makeRoom(w) {
-		return nil, q.refusal("the queue is full", q.expectedWait(f, len(f.queue)))
+		return nil, place, q.refusal("the queue is full", q.expectedWait(f, f.startable()))
 	}
-	f.queue = append(f.queue, w)
+	w.flow.add(w)
 	q.queued++
 	q.queuedBytes += t.Bytes
 	q.dispatch(now)
-	return w, nil
+	return w, place, nil
 }
 
 // setDefaults sets the defaults on first use. The caller holds the lock.
 func (q *Queuer) setDefaults() {
-	if q.urgent.flows != nil {
+	if !q.lastSlotChange.IsZero() {
 		return
 	}
-	q.urgent = class{flows: map[string]*flow{}}
-	q.deferrable = class{flows: map[string]*flow{}}
 	q.lastSlotChange = time.Now()
 	setDefault(&q.Timeout, DefaultTimeout)
 	setDefault(&q.DeferrableTimeout, DefaultDeferrableTimeout)
@@ -203,15 +279,6 @@
 	}
 }
 
-func (q *Queuer) classes() [2]*class { return [2]*class{&q.urgent, &q.deferrable} }
-
-func (q *Queuer) class(deferrable bool) *class {
-	if deferrable {
-		return &q.deferrable
-	}
-	return &q.urgent
-}
-
 // abandon withdraws a ticket whose context has ended.
 func (q *Queuer) abandon(ctx context.Context, w *waiter) error {
 	q.mu.Lock()
@@ -221,7 +288,7 @@
 		if err := <-w.result; err != nil {
 			return err
 		}
-		q.release(w)()
+		q.release(w)(false)
 	}
 	if ctx.Err() == context.DeadlineExceeded {
 		return coder.New(coder.DeadlineBefore, "in the queue of the target")
@@ -240,50 +307,50 @@
 	return true
 }
 
-// makeRoom reports whether the ticket fits, if need be after refusing the last
-// tickets of flows with more work queued. The caller holds the lock.
+// makeRoom reports whether the ticket fits, if need be after refusing others: the
+// least urgent first, and of its own class the last tickets of flows with more
+// work queued. The caller holds the lock.
 func (q *Queuer) makeRoom(w *waiter) bool {
+	if w.ticket.Bytes > q.MaxBytes {
+		return false
+	}
 	for q.queued >= q.MaxTickets || q.queuedBytes+w.ticket.Bytes > q.MaxBytes {
-		f := q.largestBacklog()
-		if f == nil || f == w.flow || f.backlog(q.expectedCost()) <= w.flow.backlog(q.expectedCost())+w.flow.costOr(q.expectedCost()) {
+		victim := q.victim(w, q.queued < q.MaxTickets)
+		if victim == nil {
 			return false
 		}
-		last := f.queue[len(f.queue)-1]
-		q.refuse(last, "the queue is full", q.expectedWait(f, len(f.queue)))
+		q.refuse(victim, "the queue is full", q.expectedWait(victim.flow, victim.flow.startable()))
 	}
 	return true
 }
 
-func (q *Queuer) largestBacklog() *flow {
-	var largest *flow
-	for _, c := range q.classes() {
-		for _, f := range c.flows {
-			if largest == nil || f.backlog(q.expectedCost()) > largest.backlog(q.expectedCost()) {
-				largest = f
-			}
+// victim returns the ticket to refuse for a new one, or nil if that must be
+// refused itself. If needBytes is set, only tickets that hold bytes make room.
+func (q *Queuer) victim(w *waiter, needBytes bool) *waiter {
+	cost := q.expectedCost()
+	for _, c := range slices.Backward(q.classes) {
+		f := c.largestBacklog(needBytes, cost)
+		switch order := c.priority.compare(w.flow.class.priority); {
+		case order < 0:
+			return nil
+		case f == nil:
+		case order > 0, f != w.flow && f.queuedWork(cost) > w.flow.queuedWork(cost)+w.flow.costOr(cost):
+			return f.last(needBytes)
 		}
 	}
-	if largest == nil || len(largest.queue) == 0 {
-		return nil
-	}
-	return largest
-}
-
-// outcome converts a waiter's result to that of Acquire.
-func (q *Queuer) outcome(w *waiter, err error) (func(), error) {
-	if err != nil {
-		return nil, err
-	}
-	return q.release(w), nil
+	return nil
 }
 
 // release returns the function that releases a slot.
-func (q *Queuer) release(w *waiter) func() {
+func (q *Queuer) release(w *waiter) func(used bool) {
 	start := time.Now()
-	return sync.OnceFunc(func() {
-		q.mu.Lock()
-		defer q.mu.Unlock()
-		q.finish(w, time.Since(start).Seconds())
-		q.dispatch(time.Now())
-	})
+	var once sync.Once
+	return func(used bool) {
+		once.Do(func() {
+			q.mu.Lock()
+			defer q.mu.Unlock()
+			q.finish(w, time.Since(start).Seconds(), used)
+			q.dispatch(time.Now())
+		})
+	}
 }
