messenger, linker: fields and method for inner requests and reservations

A call carries whether it is an inner request and the ID of its reservation, and links have a method for reservations.

--- a/internal/linker/message.go
+++ b/internal/linker/message.go
@@ -49,6 +49,8 @@
 	MethodSoftLimit
 	// MethodQuarantine carries reports of requests that crash targets.
 	MethodQuarantine
+	// MethodReserve reserves a slot of a target for a call.
+	MethodReserve
 )
 
 // hello starts the handshake. Both sides send one.
--- a/internal/linker/traffic.go
+++ b/internal/linker/traffic.go
@@ -42,7 +42,7 @@
 var methodNames = map[Method]string{
 	0: "link", MethodCall: "call", MethodFence: "fence", MethodLimit: "limit", MethodTargets: "targets",
 	MethodConfiguration: "configuration", MethodRecord: "record", MethodStatus: "status", MethodReference: "reference",
-	MethodShares: "shares", MethodSoftLimit: "ration", MethodLoadProbe: "bid", MethodQuarantine: "quarantine",
+	MethodShares: "shares", MethodSoftLimit: "ration", MethodLoadProbe: "bid", MethodQuarantine: "quarantine", MethodReserve: "reserve",
 }
 
 // MethodNames returns the names of the methods that traffic is counted for.
--- a/internal/messenger/call.go
+++ b/internal/messenger/call.go
@@ -64,6 +64,12 @@
 	Statement Statement
 	// Wait means that the request is deferrable: others are served first.
 	Wait bool
+	// Inner means that a target sent the request while it runs another one, which
+	// holds a slot meanwhile.
+	Inner bool
+	// Reservation is the ID of the reservation whose slot the call takes, empty if
+	// it has none.
+	Reservation string
 }
 
 // ResponseHead is the head of a response, or a refusal, sent from the exit node
