admitter: rank, inner request and latency objective decide how a call waits

The tickets of calls carry rank and inner request, and a call of a route with a latency objective waits for its slot until it can no longer be answered within the objective, rather than for 2 s; it is expected to be done by its deadline. A slot that is given back before its call is sent no longer counts for the mean cost. call-sent carries the place, the wait and the rank.

TestCallWaitsWithinItsObjective: a call with an objective of 6 s gets the slot that becomes free after 2.5 s.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/zinniaproxy/zinniaproxy/internal/breaker"
@@ -85,6 +86,9 @@
 	// Tracer records events; nil drops them.
 	Tracer *tracer.Tracer
 
+	// granted counts the slots given out, by rank.
+	granted [Ranks]atomic.Int64
+
 	mu      sync.Mutex
 	targets map[string]*targetState
 	// wasOut is the result of CentreOut at the last check.
@@ -247,20 +251,17 @@
 		return nil, coder.New(coder.WrongTarget, "target %s is not on this node", j.Target.Name)
 	}
 	a.AdoptStatement(j.Target.Name, j.Target.Epoch, j.Call.Statement)
-	release, err := s.queue.Acquire(ctx, queuer.Ticket{
-		Workspace: j.Call.Workspace, Weight: j.Call.Weight, Deferrable: j.Call.Wait,
-		Deadline: j.Deadline, Bytes: len(j.Call.Body), Refuse: a.breakerCheck(j),
-	})
+	slot, err := a.acquireSlot(ctx, s, j)
 	if err != nil {
 		return nil, err
 	}
 	if err := awaitStart(ctx, a.breakerCheck(j), &s.coldPacer, &s.statedPacer); err != nil {
-		release()
+		slot.Cancel()
 		return nil, err
 	}
 	admittedCall, err := a.passBreaker(j)
 	if err != nil {
-		release()
+		slot.Cancel()
 		return nil, err
 	}
 	attempt := a.Detector.Start(j.Target.Name)
@@ -271,7 +272,7 @@
 		if admittedCall != nil {
 			admittedCall.Done(class.breaker)
 		}
-		release()
+		slot.Release()
 	}, nil
 }
 
--- a/internal/admitter/admitter_test.go
+++ b/internal/admitter/admitter_test.go
@@ -160,3 +160,38 @@
 		}
 	})
 }
+
+// Guards against a call that is refused after the timeout of calls without a
+// latency objective, although it can still meet its own, and against one that waits
+// although it could not be done by its deadline.
+func TestCallWaitsWithinItsObjective(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		target := messenger.Target{Name: "t", Service: "s", Epoch: 1, Slots: 1}
+		a := &Admitter{
+			ColdLimit: func(string) int { return 1 }, CentreOut: func() bool { return false },
+			Detector: &detector.Detector{}, RefreshVerdicts: func() {},
+		}
+		a.ApplyVerdict(target)
+		call := func(aim, timeout, hold time.Duration) (waited time.Duration, err error) {
+			j := &exithandler.Job{Call: &messenger.Call{Aim: aim}, Target: target, Deadline: time.Now().Add(timeout)}
+			release, err := a.Acquire(t.Context(), j)
+			if err == nil {
+				time.AfterFunc(hold, func() { release(exithandler.Outcome{Result: exithandler.Good}) })
+			}
+			return j.Wait, err
+		}
+		for _, tc := range []struct {
+			aim, timeout time.Duration
+			admitted     bool
+		}{{0, 8 * time.Second, false}, {6 * time.Second, 8 * time.Second, true}, {6 * time.Second, 3 * time.Second, false}} {
+			_, err := call(0, time.Minute, time.Second)
+			qt.Assert(t, err, qt.IsNil)
+			time.Sleep(time.Second) // the mean cost is a second
+			_, err = call(0, time.Minute, 2500*time.Millisecond)
+			qt.Assert(t, err, qt.IsNil)
+			waited, err := call(tc.aim, tc.timeout, time.Second)
+			qt.Check(t, err == nil, qt.Equals, tc.admitted, qt.Commentf("%+v: waited %v, %v", tc, waited, err))
+			time.Sleep(10 * time.Second)
+		}
+	})
+}
--- a/internal/exithandler/exithandler.go
+++ b/internal/exithandler/exithandler.go
@@ -86,6 +86,10 @@
 	// Risk is the probability that the target was in a fault episode when the
 	// circuit breaker admitted the call.
 	Risk float64
+	// Place is how many tickets were to be served before the call's when that
+	// arrived in the target's queue, and Wait how long it was queued.
+	Place int
+	Wait  time.Duration
 }
 
 // Step runs the remaining filters on a job.
@@ -215,6 +219,7 @@
 	e := tracer.Event{
 		Kind: "call-sent", Request: j.Call.Request, Target: j.Target.Name, Workspace: j.Call.Workspace, Attempt: j.Call.ID,
 		Risk: j.Risk, Queue: load.Queue, InFlight: load.InFlight, Limit: load.Limit,
+		Place: j.Place, Wait: tracer.Millis(j.Wait), Rank: j.Call.Rank,
 	}
 	h.Tracer.Add(e)
 	start := time.Now()
--- a/internal/tracer/tracer.go
+++ b/internal/tracer/tracer.go
@@ -47,6 +47,12 @@
 	Queue    int     `json:"queue,omitempty"`
 	InFlight int     `json:"flying,omitempty"`
 	Limit    int     `json:"limit,omitempty"`
+	// Place is how many tickets were to be served before that of the call or
+	// reservation when it arrived, Wait how long it was queued in milliseconds, and
+	// Rank its priority.
+	Place int     `json:"place,omitempty"`
+	Wait  float64 `json:"wait,omitempty"`
+	Rank  int     `json:"rank,omitempty"`
 	// Fingerprint is that of a request which all its repeats share.
 	Fingerprint string `json:"print,omitempty"`
 	// Detail is free text. It never contains a key.
