reserver: a call reserves its slot at the exit node without its body

An entry node can now ask one or two exit nodes for a slot; the first to grant it holds it for 250 ms for the call. A reservation waits in the queue of calls, also while the circuit breaker rejects its call or the target is stalled, and one slot at a time is held at a target whose calls are trials. Metrics count tickets and slots by rank, and reservations. The choice of targets does not use it yet.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -40,6 +40,9 @@
 	// statedPacer while it states a rate.
 	coldPacer, statedPacer pacer
 
+	// untaken is how many slots are held by reservations.
+	untaken atomic.Int64
+
 	// The fields below are guarded by Admitter.mu.
 	epoch   uint64
 	service string
@@ -88,9 +91,13 @@
 
 	// granted counts the slots given out, by rank.
 	granted [Ranks]atomic.Int64
+	// reservations counts how reservations ended.
+	reservations reservationCounters
 
 	mu      sync.Mutex
 	targets map[string]*targetState
+	// held are the reservations with a slot that no call has taken.
+	held map[reservationKey]*Reservation
 	// wasOut is the result of CentreOut at the last check.
 	wasOut bool
 }
@@ -242,8 +249,8 @@
 	return a.Breaker.IdleTime(target)
 }
 
-// Acquire waits for a slot of the job's target and starts to track the call. On
-// success the returned function must be called once with the outcome of the
+// Acquire waits for a slot of the job's target, or takes the slot that the call
+// has reserved, and starts to track the call. On success the returned function must be called once with the outcome of the
 // call; it releases the slot. Errors are *coder.Error.
 func (a *Admitter) Acquire(ctx context.Context, j *exithandler.Job) (func(exithandler.Outcome), error) {
 	s := a.target(j.Target.Name)
--- a/internal/admitter/ticket.go
+++ b/internal/admitter/ticket.go
@@ -40,8 +40,11 @@
 	return max(min(max(objective-meanCost, timeout), left-meanCost), minMaxWait)
 }
 
-// acquireSlot waits for a slot for a job's call.
+// acquireSlot takes the slot that a job's call has reserved, or waits for one.
 func (a *Admitter) acquireSlot(ctx context.Context, s *targetState, j *exithandler.Job) (queuer.Slot, error) {
+	if slot, ok := a.takeReserved(exithandler.EntryOf(ctx), s, j); ok {
+		return slot, nil
+	}
 	t := s.ticket(j)
 	t.Refuse = a.breakerCheck(j)
 	return a.awaitSlot(ctx, s, j, t)
--- a/internal/exithandler/exithandler.go
+++ b/internal/exithandler/exithandler.go
@@ -87,7 +87,8 @@
 	// circuit breaker admitted the call.
 	Risk float64
 	// Place is how many tickets were to be served before the call's when that
-	// arrived in the target's queue, and Wait how long it was queued.
+	// arrived in the target's queue, and Wait how long it was queued. For a call
+	// with a reservation they are those of the reservation.
 	Place int
 	Wait  time.Duration
 }
@@ -188,7 +189,7 @@
 	release, err := h.Acquire(ctx, j)
 	start := time.Now()
 	if h.Waited != nil {
-		h.Waited(start.Sub(queuedAt))
+		h.Waited(max(start.Sub(queuedAt), j.Wait)) // a reservation has waited before the call came
 	}
 	if err != nil {
 		return err
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -23,6 +23,7 @@
 	m := c.Measurer
 	registerLinkMetrics(m, c.Linker, c.Prober)
 	registerTargetMetrics(m, c.Gossiper)
+	registerQueueMetrics(m, c.Admitter)
 	m.Gauge("targets.limited", func() int64 { return int64(c.Admitter.LimitedTargets()) })
 	m.Gauge("requests.quarantined", func() int64 { return int64(len(c.Quarantiner.Entries())) })
 	m.Gauge("targets.crashed", c.CrashWatcher.Crashes)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -30,6 +30,7 @@
 	"github.com/zinniaproxy/zinniaproxy/internal/prober"
 	"github.com/zinniaproxy/zinniaproxy/internal/quarantiner"
 	"github.com/zinniaproxy/zinniaproxy/internal/recorder"
+	"github.com/zinniaproxy/zinniaproxy/internal/reserver"
 	"github.com/zinniaproxy/zinniaproxy/internal/retrier"
 	"github.com/zinniaproxy/zinniaproxy/internal/settingsloader"
 	"github.com/zinniaproxy/zinniaproxy/internal/softlimiter"
@@ -167,6 +168,8 @@
 	Detector            *detector.Detector
 	Admitter            *admitter.Admitter
 	Picker              *picker.Picker
+	Reserver            *reserver.Client
+	ReservationServer   *reserver.Server
 	Limiter             *limiter.Limiter
 	SoftLimiter         *softlimiter.Limiter
 }
--- a/internal/node/wire.go
+++ b/internal/node/wire.go
@@ -13,7 +13,7 @@
 	wire.Build(
 		newEpoch, newTracer, newMeasurer, newProber, newMemberRecorder, newGossiper, newMembership, newConfigurer, newAuthenticator,
 		newDetector, newAdmitter, newPicker, newLimiter, newSoftLimiter, newLinker, newTargetRegistrar,
-		newTargetSender, newDeduper, newRetrier, newIdempotencyRecorder, newDrainer, newCrashWatcher, newQuarantiner, newExitHandler, newNoter, newLoadProber, newAttemptSender, newRequestRunner, newEntryHandler, newAdminServer,
+		newTargetSender, newDeduper, newRetrier, newIdempotencyRecorder, newDrainer, newCrashWatcher, newQuarantiner, newExitHandler, newNoter, newReservationServer, newReserver, newLoadProber, newAttemptSender, newRequestRunner, newEntryHandler, newAdminServer,
 		wire.Struct(new(components), "*"), bind,
 	)
 	return nil
--- a/internal/node/wire_gen.go
+++ b/internal/node/wire_gen.go
@@ -44,6 +44,8 @@
 	entryhandlerHandler := newEntryHandler(s, epoch, p, limiter, configurer, authenticator, limiterLimiter, prober, runner, drainer, measurer, tracer)
 	server := newAdminServer(s, configurer, membership, registrar, drainer, limiterLimiter, quarantiner, measurer, tracer)
 	memberRecorder := newMemberRecorder(p, prober)
+	reserverServer := newReservationServer(registrar, admitter, drainer)
+	client := newReserver(s, linker, reserverServer, noter)
 	nodeComponents := components{
 		Settings:            s,
 		Platform:            p,
@@ -71,6 +73,8 @@
 		Detector:            detector,
 		Admitter:            admitter,
 		Picker:              picker,
+		Reserver:            client,
+		ReservationServer:   reserverServer,
 		Limiter:             limiterLimiter,
 		SoftLimiter:         limiter,
 	}
