--- a/internal/queuer/queuer.go
+++ b/internal/queuer/queuer.go
@@ -77,7 +77,8 @@
 	// Deferrable is whether the request yields to urgent ones.
 	Deferrable bool
 	// MaxWait bounds the time in the queue; 0 means the queue's Timeout, or
-	// DeferrableTimeout for a deferrable ticket.
+	// DeferrableTimeout for a deferrable ticket. It is checked when the queue is
+	// pruned.
 	MaxWait time.Duration
 	// Deadline is when the response is no longer useful. Zero is never.
 	Deadline time.Time
