--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/zinniaproxy/zinniaproxy/internal/breaker"
@@ -39,6 +40,9 @@
 	// statedPacer while it states a rate.
 	coldPacer, statedPacer pacer
 
+	// untaken is how many slots are held by reservations.
+	untaken atomic.Int64
+
 	// The fields below are guarded by Admitter.mu.
 	epoch   uint64
 	service string
@@ -86,9 +90,15 @@
 	Tracer *tracer.Tracer
 
 	running runningCalls
+	// granted counts the slots given out, by rank.
+	granted [Ranks]atomic.Int64
+	// reservations counts how reservations ended.
+	reservations reservationCounters
 
 	mu      sync.Mutex
 	targets map[string]*targetState
+	// held are the reservations with a slot that no call has taken.
+	held map[reservationKey]*Reservation
 	// wasOut is the result of CentreOut at the last check.
 	wasOut bool
 }
@@ -240,8 +250,8 @@
 	return a.Breaker.IdleTime(target)
 }
 
-// Acquire waits for a slot of the job's target and starts to track the call. On
-// success the returned function must be called once with the outcome of the
+// Acquire waits for a slot of the job's target, or takes the slot that the call
+// has reserved, and starts to track the call. On success the returned function must be called once with the outcome of the
 // call; it releases the slot. Errors are *coder.Error.
 func (a *Admitter) Acquire(ctx context.Context, j *exithandler.Job) (func(exithandler.Outcome), error) {
 	s := a.target(j.Target.Name)
@@ -249,20 +259,17 @@
 		return nil, coder.New(coder.WrongTarget, "target %s is not on this node", j.Target.Name)
 	}
 	a.AdoptStatement(j.Target.Name, j.Target.Epoch, j.Call.Statement)
-	release, err := s.queue.Acquire(ctx, queuer.Ticket{
-		Workspace: j.Call.Workspace, Weight: j.Call.Weight, Deferrable: j.Call.Wait,
-		Deadline: j.Deadline, Bytes: len(j.Call.Body), Refuse: a.breakerCheck(j),
-	})
+	slot, err := a.acquireSlot(ctx, s, j)
 	if err != nil {
 		return nil, err
 	}
 	if err := awaitStart(ctx, a.breakerCheck(j), &s.coldPacer, &s.statedPacer); err != nil {
-		release()
+		slot.Cancel()
 		return nil, err
 	}
 	admittedCall, err := a.passBreaker(j)
 	if err != nil {
-		release()
+		slot.Cancel()
 		return nil, err
 	}
 	attempt := a.Detector.Start(j.Target.Name)
@@ -275,7 +282,7 @@
 		if admittedCall != nil {
 			admittedCall.Done(class.breaker)
 		}
-		release()
+		slot.Release()
 	}, nil
 }
 
--- a/internal/entryhandler/entryhandler.go
+++ b/internal/entryhandler/entryhandler.go
@@ -95,7 +95,7 @@
 		Request: x.ExternalID, Service: x.Service, Workspace: x.WorkspaceName(), Weight: 1, Origin: x.Origin, Rank: x.Rank(),
 		Method: x.Request.Method, URI: x.Request.URL.RequestURI(), Host: x.Request.Host,
 		Header: x.Dialect.EndToEndFields(x.Request.Header), Body: x.Body,
-		Once: x.Route.Once, Wait: x.Route.Wait, Route: x.Route.Name, Aim: time.Duration(x.Route.Aim) * time.Millisecond,
+		Once: x.Route.Once, Wait: x.Route.Wait, Inner: x.Inner, Route: x.Route.Name, Aim: time.Duration(x.Route.Aim) * time.Millisecond,
 	}
 	if x.Workspace != nil {
 		c.Weight = max(x.Workspace.Weight, 1)
@@ -223,7 +223,7 @@
 		Kind: "request-answered", Request: x.ExternalID, Conn: x.Request.RemoteAddr, Workspace: x.WorkspaceName(), Took: tracer.Millis(took),
 	}
 	if x.Route != nil { // a request may be refused before its route is known
-		e.Route, e.Aim = x.Route.Name, x.Route.Aim
+		e.Route, e.Aim, e.Rank = x.Route.Name, x.Route.Aim, x.Rank()
 	}
 	if err != nil {
 		e.Kind, e.Code, e.Detail = "request-refused", int(code), coder.Of(err).Error()
--- a/internal/exithandler/exithandler.go
+++ b/internal/exithandler/exithandler.go
@@ -86,6 +86,11 @@
 	// Risk is the probability that the target was in a fault episode when the
 	// circuit breaker admitted the call.
 	Risk float64
+	// Place is how many tickets were to be served before the call's when that
+	// arrived in the target's queue, and Wait how long it was queued. For a call
+	// with a reservation they are those of the reservation.
+	Place int
+	Wait  time.Duration
 }
 
 // Step runs the remaining filters on a job.
@@ -184,7 +189,7 @@
 	release, err := h.Acquire(ctx, j)
 	start := time.Now()
 	if h.Waited != nil {
-		h.Waited(start.Sub(queuedAt))
+		h.Waited(max(start.Sub(queuedAt), j.Wait)) // a reservation has waited before the call came
 	}
 	if err != nil {
 		return err
@@ -215,6 +220,7 @@
 	e := tracer.Event{
 		Kind: "call-sent", Request: j.Call.Request, Target: j.Target.Name, Workspace: j.Call.Workspace, Attempt: j.Call.ID,
 		Risk: j.Risk, Queue: load.Queue, InFlight: load.InFlight, Limit: load.Limit,
+		Place: j.Place, Wait: tracer.Millis(j.Wait), Rank: j.Call.Rank,
 	}
 	h.Tracer.Add(e)
 	start := time.Now()
