httpserver: bounds on memory, connections and transfer rate of clients

Cause: 300 connections made a node hold up to 1,206 MB; idle connections kept 8 KB of buffers each; a slow client was cut after a fixed time, and connections were not limited. Change: heads, bodies and running requests are reserved in the account; without room the server stops reading, then answers 503 unrun, and interrupts connections that hold most for longest. At the limit of connections idle ones are closed, then those that wait longest for their client. A request must arrive, and a response be read, at MinRate beyond RateTime, counting only the time that the client is waited for. Idle connections have no buffers.

--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -2,16 +2,16 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"errors"
 	"io"
 	"net"
 	"net/http"
-	"os"
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/zinniaproxy/zinniaproxy/internal/accountant"
 )
 
 // maxBufferedBodyBytes bounds the body that is read whole before its request
@@ -27,17 +27,18 @@
 	maxDiscardedBytes = 4 << 20
 )
 
-// errHeadTooLarge is returned by limitedReader when a request's head exceeds
-// the limit.
-var errHeadTooLarge = errors.New("httpserver: request head is too large")
-
 // conn is one caller's connection.
 type conn struct {
-	server    *Server
-	netConn   net.Conn
-	headLimit *limitedReader
-	in        *bufio.Reader
-	out       *bufio.Writer
+	server  *Server
+	netConn net.Conn
+	reader  *reader
+	writer  *writer
+	// in and out are nil while the connection has been idle for a while: they are
+	// most of what an idle connection holds.
+	in  *bufio.Reader
+	out *bufio.Writer
+	// owner is the connection's account, next that of the request that is read.
+	owner, next *accountant.Owner
 	// ctx is canceled when the connection ends.
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -63,42 +64,26 @@
 	// written. No further request may run then: the caller sends those behind it
 	// again.
 	closing bool
-}
-
-// limitedReader bounds how many bytes of a request's head are read.
-type limitedReader struct {
-	source    io.Reader
-	remaining int64 // bytes; below 0: unlimited
-}
-
-func (l *limitedReader) Read(b []byte) (int, error) {
-	if l.remaining < 0 {
-		return l.source.Read(b)
-	}
-	if l.remaining == 0 {
-		return 0, errHeadTooLarge
-	}
-	n, err := l.source.Read(b[:min(int64(len(b)), l.remaining)])
-	l.remaining -= int64(n)
-	return n, err
+	// readingSince is when reading became true, idleSince when the connection became
+	// idle.
+	readingSince, idleSince time.Time
+	// interrupted is true when no further byte may be read, or was sent in vain.
+	interrupted bool
+	// evicted is true when the connection was interrupted to release what it holds.
+	evicted bool
 }
 
 func newConn(s *Server, c net.Conn) *conn {
 	ctx, cancel := context.WithCancel(context.Background())
 	first := make(chan struct{})
 	close(first)
-	l := &limitedReader{source: c, remaining: -1}
-	return &conn{
-		server: s, netConn: c, headLimit: l, in: bufio.NewReader(l), out: bufio.NewWriter(c), ctx: ctx, cancel: cancel,
+	k := &conn{
+		server: s, netConn: c, ctx: ctx, cancel: cancel, owner: s.newOwner(), idleSince: time.Now(),
 		slots: make(chan struct{}, positiveOr(s.MaxPipelined, DefaultMaxPipelined)), lastDone: first,
 	}
-}
-
-// idle reports whether no request is being read or in flight.
-func (k *conn) idle() bool {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	return len(k.unanswered) == 0 && !k.reading
+	k.reader = &reader{conn: k, headRemaining: -1}
+	k.writer = &writer{conn: k}
+	return k
 }
 
 // serve reads requests until the connection ends. When the caller closes it,
@@ -115,6 +100,8 @@
 	k.cancel()
 	<-lastDone
 	k.close()
+	k.next.Close()
+	k.owner.Close()
 }
 
 // close closes the write side, reads until the caller closes too, lingerTimeout
@@ -136,14 +123,14 @@
 func (k *conn) watchForDisconnect(lastDone chan struct{}) {
 	readEnded := make(chan struct{})
 	_ = k.netConn.SetReadDeadline(time.Time{}) // must come before the deadline set on lastDone below
-	k.headLimit.remaining = -1
+	k.reader.endRequest()
 	go func() {
 		defer close(readEnded)
 		if k.ctx.Err() != nil {
 			return
 		}
 		// Any error means that the connection ended.
-		if _, err := io.CopyN(io.Discard, k.in, maxDiscardedBytes); err == nil {
+		if _, err := io.CopyN(io.Discard, k.unread(), maxDiscardedBytes); err == nil {
 			<-lastDone
 		}
 	}()
@@ -161,10 +148,10 @@
 	if !k.awaitRequest() || !k.beginReading() {
 		return false
 	}
-	_ = k.netConn.SetReadDeadline(time.Now().Add(positiveOr(k.server.HeadTimeout, DefaultHeadTimeout)))
-	k.headLimit.remaining = int64(positiveOr(k.server.MaxHeadBytes, DefaultMaxHeadBytes))
+	k.next = k.owner.Member()
+	k.reader.beginRequest(int64(positiveOr(k.server.MaxHeadBytes, DefaultMaxHeadBytes)), k.in.Buffered())
 	req, err := http.ReadRequest(k.in)
-	k.headLimit.remaining = -1
+	k.reader.endHead()
 	if err != nil {
 		k.setReading(false)
 		k.handleReadError(err)
@@ -178,43 +165,6 @@
 	return k.start(req)
 }
 
-// awaitRequest waits for the first byte of a request and returns false when the
-// connection ends instead. The idle timeout applies only while no request is in
-// flight.
-func (k *conn) awaitRequest() bool {
-	for {
-		k.setIdleDeadline()
-		_, err := k.in.Peek(1)
-		switch {
-		case err == nil:
-			return true
-		case errors.Is(err, os.ErrDeadlineExceeded):
-			if k.idle() || k.isDraining() {
-				return false
-			}
-		default:
-			k.cancel() // the caller closed the connection
-			return false
-		}
-	}
-}
-
-// setIdleDeadline sets the read deadline for the wait for a request: the idle
-// timeout, none while requests are in flight, or now when draining.
-func (k *conn) setIdleDeadline() {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if k.draining {
-		_ = k.netConn.SetReadDeadline(time.Now())
-		return
-	}
-	if len(k.unanswered) > 0 {
-		_ = k.netConn.SetReadDeadline(time.Time{})
-		return
-	}
-	_ = k.netConn.SetReadDeadline(time.Now().Add(positiveOr(k.server.IdleTimeout, DefaultIdleTimeout)))
-}
-
 func (k *conn) isDraining() bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -226,7 +176,7 @@
 func (k *conn) beginReading() bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.reading = !k.draining
+	k.reading, k.readingSince = !k.draining, time.Now()
 	return k.reading
 }
 
@@ -261,14 +211,10 @@
 func (k *conn) start(req *http.Request) bool {
 	req.RemoteAddr = k.netConn.RemoteAddr().String()
 	buffered := req.ContentLength >= 0 && req.ContentLength <= maxBufferedBodyBytes && req.Header.Get("Expect") == ""
-	if buffered && req.ContentLength > 0 {
-		b, err := io.ReadAll(req.Body)
-		if err != nil {
-			k.setReading(false)
-			k.cancel()
-			return false
-		}
-		req.Body = io.NopCloser(bytes.NewReader(b))
+	if err := k.reserveRequest(req, buffered); err != nil {
+		k.setReading(false)
+		k.handleReadError(err)
+		return false
 	}
 	select {
 	case k.slots <- struct{}{}:
@@ -277,8 +223,10 @@
 	}
 	var body *streamedBody
 	if !buffered {
-		body = &streamedBody{ReadCloser: req.Body, ended: make(chan struct{})}
+		body = &streamedBody{ReadCloser: req.Body, ended: make(chan struct{}), arrived: k.reader.endRequest}
 		req.Body = body
+	} else {
+		k.reader.endRequest()
 	}
 	w := k.enqueue(req, body)
 	if req.Header.Get("Expect") != "" {
@@ -307,6 +255,7 @@
 			k.netConn.Close()
 		}
 		k.markAnswered(w)
+		w.owner.Close()
 		close(w.done)
 		<-k.slots
 		k.restartIdleTimeout()
@@ -332,49 +281,3 @@
 	}
 	w.finish()
 }
-
-// restartIdleTimeout sets the idle timeout when no request is in flight.
-func (k *conn) restartIdleTimeout() {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if len(k.unanswered) == 0 && !k.reading && !k.draining {
-		_ = k.netConn.SetReadDeadline(time.Now().Add(positiveOr(k.server.IdleTimeout, DefaultIdleTimeout)))
-	}
-}
-
-// handleReadError handles a failed read of a request. It refuses a request that
-// is malformed or too large, and cancels the connection when it broke.
-func (k *conn) handleReadError(err error) {
-	switch {
-	case errors.Is(err, errHeadTooLarge):
-		k.refuse(http.StatusRequestHeaderFieldsTooLarge, "the request head is too large")
-	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, os.ErrDeadlineExceeded):
-		k.cancel()
-	default:
-		var ne net.Error
-		if errors.As(err, &ne) || errors.Is(err, net.ErrClosed) {
-			k.cancel()
-			return
-		}
-		k.refuse(http.StatusBadRequest, "the request is malformed")
-	}
-}
-
-// refuse answers an invalid request after all earlier ones and then closes the
-// connection.
-func (k *conn) refuse(status int, reason string) {
-	w := k.enqueue(&http.Request{Method: http.MethodGet, ProtoMajor: 1, ProtoMinor: 1, Header: http.Header{}}, nil)
-	w.close = true
-	k.slots <- struct{}{}
-	go func() {
-		defer func() { <-k.slots }()
-		if k.begin(w) {
-			http.Error(w, reason, status)
-			w.finish()
-		} else {
-			w.awaitTurn()
-		}
-		k.markAnswered(w)
-		close(w.done)
-	}()
-}
--- a/internal/httpserver/httpserver.go
+++ b/internal/httpserver/httpserver.go
@@ -13,14 +13,16 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/zinniaproxy/zinniaproxy/internal/accountant"
 )
 
 // Defaults for the fields of Server, and its internal timeouts.
 const (
 	// DefaultMaxPipelined bounds the requests of one connection in flight.
 	DefaultMaxPipelined = 16
-	// DefaultHeadTimeout bounds the time to read a request's head and its body,
-	// if the body is short enough to be buffered.
+	// DefaultHeadTimeout bounds the time that a server which shuts down gives a
+	// request to arrive.
 	DefaultHeadTimeout = 10 * time.Second
 	// DefaultIdleTimeout bounds how long a connection without requests in
 	// flight stays open.
@@ -28,8 +30,11 @@
 	// DefaultMaxHeadBytes bounds a request's head, not counting bytes that the
 	// read buffer already holds.
 	DefaultMaxHeadBytes = 64 << 10
-	// writeTimeout bounds each write of a part of a response to the caller.
-	writeTimeout = 30 * time.Second
+	// DefaultMinRate, in bytes a second, and DefaultRateTime set how long a request
+	// may take to arrive and a response to be read: the time, and what its bytes take
+	// at the rate.
+	DefaultMinRate  = 1024
+	DefaultRateTime = 5 * time.Second
 	// acceptRetryDelay is the pause after a failed accept, for example when the
 	// process is out of file descriptors.
 	acceptRetryDelay  = 20 * time.Millisecond
@@ -57,6 +62,25 @@
 	MaxPipelined             int
 	HeadTimeout, IdleTimeout time.Duration
 	MaxHeadBytes             int
+	// MinRate, in bytes a second, and RateTime override the defaults when above 0.
+	MinRate  int
+	RateTime time.Duration
+	// MaxConns bounds the open connections. At the bound idle ones are closed for new
+	// ones, then those that make least progress. 0 means no bound.
+	MaxConns int
+	// Account is where what connections hold is reserved. Nil means no limit.
+	Account *accountant.Account
+	// Group and GroupShare override the account's group of connections whose
+	// workspace is not known, and the share of the account that it may hold.
+	Group      string
+	GroupShare float64
+	// Overloaded answers a request that the account has no room for. Nil means with
+	// status 503.
+	Overloaded func(http.ResponseWriter, *http.Request)
+	// Refused counts the refusals and closed connections of a kind. It may be nil.
+	Refused func(kind string)
+
+	relieveOnce sync.Once
 
 	mu     sync.Mutex
 	conns  map[*conn]bool
@@ -88,6 +112,7 @@
 
 // Serve accepts connections until the listener is closed.
 func (s *Server) Serve(ln net.Listener) error {
+	s.relieveOnce.Do(func() { s.Account.AddReliever(s.relieve) })
 	for {
 		c, err := ln.Accept()
 		if err != nil {
@@ -98,20 +123,30 @@
 			if !errors.As(err, &ne) {
 				return err
 			}
+			s.closeForNew() // there may be no descriptor left
 			time.Sleep(acceptRetryDelay)
 			continue
 		}
 		k := newConn(s, c)
-		s.mu.Lock()
-		if s.conns == nil {
-			s.conns = map[*conn]bool{}
+		if !s.add(k) {
+			c.Close()
+			k.owner.Close()
+			continue
 		}
-		s.conns[k] = true
-		s.mu.Unlock()
 		go k.serve()
 	}
 }
 
+// Close closes all connections at once.
+func (s *Server) Close() {
+	s.mu.Lock()
+	s.closed = true
+	s.mu.Unlock()
+	for _, k := range s.openConns() {
+		k.kill()
+	}
+}
+
 func (s *Server) remove(k *conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/httpserver/unanswered.go
+++ b/internal/httpserver/unanswered.go
@@ -1,6 +1,7 @@
 package httpserver
 
 import (
+	"bufio"
 	"context"
 	"net/http"
 	"slices"
@@ -22,12 +23,17 @@
 // enqueue returns a writer whose response follows those to all earlier requests.
 // body is nil if the request's body was buffered.
 func (k *conn) enqueue(req *http.Request, body *streamedBody) *responseWriter {
-	ctx, cancel := context.WithCancelCause(k.ctx)
+	parent, owner := k.requestContext()
+	ctx, cancel := context.WithCancelCause(parent)
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	w := &responseWriter{
 		conn: k, header: http.Header{}, previousDone: k.lastDone, done: make(chan struct{}), cancel: cancel,
-		body: body, close: req.Close || !req.ProtoAtLeast(1, 1),
+		body: body, close: req.Close || !req.ProtoAtLeast(1, 1), owner: owner,
+	}
+	if k.out == nil {
+		k.out = writers.Get().(*bufio.Writer)
+		k.out.Reset(k.writer)
 	}
 	w.request = req.WithContext(ctx)
 	k.lastDone = w.done
@@ -61,11 +67,16 @@
 	return true
 }
 
-// closeIfIdle ends the reading of an idle connection, so that it closes. A request
-// that arrives at the same moment is either read and answered or not read.
+// closeIfIdle ends the reading of an idle connection, so that it closes, and that of
+// a request which takes longer than the head timeout to arrive. A request that
+// arrives at the same moment is either read and answered or not read.
 func (k *conn) closeIfIdle() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	if k.reading && time.Since(k.readingSince) > positiveOr(k.server.HeadTimeout, DefaultHeadTimeout) {
+		k.interrupted = true
+		_ = k.netConn.SetReadDeadline(time.Now())
+	}
 	if len(k.unanswered) == 0 && !k.reading && !k.draining {
 		k.draining = true
 		_ = k.netConn.SetReadDeadline(time.Now()) // unblocks the pending read
--- a/internal/httpserver/writer.go
+++ b/internal/httpserver/writer.go
@@ -8,6 +8,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/zinniaproxy/zinniaproxy/internal/accountant"
 )
 
 // responseWriter writes the response to one request after all earlier responses
@@ -20,6 +22,8 @@
 	// when this one is.
 	previousDone, done chan struct{}
 	cancel             context.CancelCauseFunc
+	// owner is the request's account.
+	owner *accountant.Owner
 	// number counts the requests of the connection from 1. id is the request's ID;
 	// the handler may change the header that it comes from.
 	number int
@@ -64,8 +68,8 @@
 	}
 }
 
-// SetReadDeadline sets the deadline for reading the request body. It does nothing
-// once the body was read.
+// SetReadDeadline sets the deadline of further reads of the request body. It does
+// nothing once the body was read.
 func (w *responseWriter) SetReadDeadline(t time.Time) error {
 	if w.body == nil {
 		return nil
@@ -74,7 +78,10 @@
 	case <-w.body.ended:
 		return nil
 	default:
-		return w.conn.netConn.SetReadDeadline(t)
+		w.conn.mu.Lock()
+		defer w.conn.mu.Unlock()
+		w.conn.reader.limit = t
+		return nil
 	}
 }
 
@@ -88,7 +95,7 @@
 	w.held.Store(false)
 	w.headWritten, w.status = true, status
 	w.setFraming()
-	_ = w.conn.netConn.SetWriteDeadline(time.Now().Add(writeTimeout))
+	w.conn.writer.pace = pace{}
 	o := w.conn.out
 	_, _ = o.WriteString("HTTP/1.1 " + strconv.Itoa(status) + " " + http.StatusText(status) + "\r\n")
 	_ = w.header.Write(o)
@@ -143,7 +150,6 @@
 	if w.remaining >= 0 && int64(len(b)) > w.remaining {
 		return 0, http.ErrContentLength
 	}
-	_ = w.conn.netConn.SetWriteDeadline(time.Now().Add(writeTimeout))
 	o := w.conn.out
 	if w.chunked {
 		_, _ = o.WriteString(strconv.FormatInt(int64(len(b)), 16) + "\r\n")
@@ -190,7 +196,7 @@
 	}
 	if w.close {
 		w.conn.mu.Lock()
-		w.conn.draining = true
+		w.conn.draining, w.conn.interrupted = true, true
 		w.conn.mu.Unlock()
 		_ = w.conn.netConn.SetReadDeadline(time.Now()) // unblocks the pending read
 	}
@@ -208,7 +214,9 @@
 	io.ReadCloser
 	// ended is closed when the body was read to its end or an error. Then complete
 	// tells whether the next request may be read.
-	ended    chan struct{}
+	ended chan struct{}
+	// arrived is called then.
+	arrived  func()
 	once     sync.Once
 	complete bool
 }
@@ -219,6 +227,7 @@
 	if err != nil {
 		b.once.Do(func() {
 			b.complete = err == io.EOF
+			b.arrived()
 			close(b.ended)
 		})
 	}
