entryhandler, attemptsender: bodies and buffered responses count in the account

Cause: bodies were copied once more, and up to 256 KB of each response were buffered without a bound on their sum. Change: buffered bodies are not copied, others are read in reserved steps, responses are buffered only as far as there is room, a request counts for its workspace once the key is known. Request IDs above 512 bytes are refused, since thousands of them are kept in events.

--- a/internal/attemptsender/attemptsender.go
+++ b/internal/attemptsender/attemptsender.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"github.com/zinniaproxy/zinniaproxy/internal/accountant"
 	"github.com/zinniaproxy/zinniaproxy/internal/exithandler"
 	"github.com/zinniaproxy/zinniaproxy/internal/linker"
 	"github.com/zinniaproxy/zinniaproxy/internal/messenger"
@@ -20,6 +21,9 @@
 // caller noticing. The last buffered piece may go beyond it.
 const MaxBufferedBytes = 256 << 10
 
+// pieceBytes is the largest piece of a response body.
+const pieceBytes = 32 << 10
+
 // Outcome is what the entry node learns from an attempt.
 type Outcome struct {
 	// Err is nil for a complete response and for one that filled the buffer.
@@ -180,7 +184,11 @@
 	}
 	r.Head, r.Buffered, r.Complete = *head, head.Body, last
 	r.Head.Body = nil
-	for !r.Complete && len(r.Buffered) < MaxBufferedBytes {
+	owner := accountant.FromContext(ctx)
+	owner.Account().Charge(owner, int64(cap(r.Buffered)))
+	// Without room for a further piece in the account the response is not buffered
+	// any further, but read as the caller reads it.
+	for !r.Complete && len(r.Buffered) < MaxBufferedBytes && r.grow(owner) {
 		_, body, last, err := r.Source.Recv(ctx)
 		if err != nil {
 			return err
@@ -190,6 +198,28 @@
 	return r.checkLength(method)
 }
 
+// grow makes room for a further piece, and reports whether the account had room for
+// it.
+func (r *Response) grow(owner *accountant.Owner) bool {
+	needed := len(r.Buffered) + pieceBytes
+	if r.Head.Length >= 0 {
+		needed = int(min(r.Head.Length, MaxBufferedBytes+pieceBytes))
+	}
+	if needed <= cap(r.Buffered) {
+		return true
+	}
+	size := needed
+	if r.Head.Length < 0 {
+		size = min(max(needed, 2*cap(r.Buffered)), MaxBufferedBytes+pieceBytes)
+	}
+	if !owner.Account().Reserve(owner, int64(size)) {
+		return false
+	}
+	owner.Account().Release(owner, int64(cap(r.Buffered)))
+	r.Buffered = append(make([]byte, 0, size), r.Buffered...)
+	return true
+}
+
 // checkLength compares the length of a complete body with the length in the head.
 func (r *Response) checkLength(method string) error {
 	noBody := method == http.MethodHead || r.Head.Status == http.StatusNotModified
--- a/internal/entryhandler/entryhandler.go
+++ b/internal/entryhandler/entryhandler.go
@@ -7,9 +7,11 @@
 	"errors"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
+	"github.com/zinniaproxy/zinniaproxy/internal/accountant"
 	"github.com/zinniaproxy/zinniaproxy/internal/attemptsender"
 	"github.com/zinniaproxy/zinniaproxy/internal/exithandler"
 	"github.com/zinniaproxy/zinniaproxy/internal/httpserver"
@@ -137,6 +139,11 @@
 	Entry func(workspace string) string
 	// Forward sends the request to a target and returns the response.
 	Forward func(ctx context.Context, x *Exchange) (*attemptsender.Response, error)
+	// MaxBody bounds a request body in bytes, which is buffered whole so that the
+	// request can be retried. 0 means MaxBodyBytes.
+	MaxBody int64
+	// MaxRequests bounds the requests in flight at the node. 0 means MaxInFlight.
+	MaxRequests int
 	// Count records each request's result code and duration.
 	Count func(code coder.Code, took time.Duration)
 	// Tracer records events; nil drops them.
@@ -169,7 +176,7 @@
 	if given := req.Header.Get(h.Dialect.RequestIDHeader); h.Dialect.CallerSetsID && given != "" {
 		x.ExternalID = given
 	}
-	w.Header().Set(h.Dialect.RequestIDHeader, x.ExternalID)
+	w.Header().Set(h.Dialect.RequestIDHeader, clip(x.ExternalID))
 	err := Chain(h.Filters())(req.Context(), x)
 	if err != nil && coder.Of(err).Code == coder.Canceled && errors.Is(context.Cause(req.Context()), httpserver.ErrAborted) {
 		err = coder.New(coder.Cut, "this node ends")
@@ -188,7 +195,7 @@
 		return
 	}
 	h.Tracer.Add(tracer.Event{
-		Kind: "request-refused", Request: x.ExternalID, Conn: req.RemoteAddr, Workspace: x.WorkspaceName(), Code: int(code), Took: tracer.Millis(took),
+		Kind: "request-refused", Request: clip(x.ExternalID), Conn: req.RemoteAddr, Workspace: x.WorkspaceName(), Code: int(code), Took: tracer.Millis(took),
 		Detail: coder.Of(err).Error(),
 	})
 	if x.headWritten {
@@ -199,6 +206,18 @@
 	h.refuse(w, coder.Of(err))
 }
 
+// clip shortens a request ID that is too long, for its refusal.
+func clip(id string) string { return strings.Clone(id[:min(len(id), MaxIDBytes)]) }
+
+// RefuseOverloaded answers a request that the server could not read for lack of
+// room, and that has not run.
+func (h *Handler) RefuseOverloaded(w http.ResponseWriter, req *http.Request) {
+	err := accountant.Overloaded()
+	h.Count(err.Code, 0)
+	h.Tracer.Add(tracer.Event{Kind: "request-refused", Conn: req.RemoteAddr, Code: int(err.Code), Detail: err.Error()})
+	h.refuse(w, err)
+}
+
 // traceIfHeld records that a response is ready and must wait for those to earlier
 // requests of its connection.
 func (h *Handler) traceIfHeld(x *Exchange) {
--- a/internal/entryhandler/filter.go
+++ b/internal/entryhandler/filter.go
@@ -1,6 +1,7 @@
 package entryhandler
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -11,20 +12,25 @@
 	"strings"
 	"time"
 
+	"github.com/zinniaproxy/zinniaproxy/internal/accountant"
 	"github.com/zinniaproxy/zinniaproxy/internal/indexer"
 	"github.com/zinniaproxy/zinniaproxy/pkg/coder"
 )
 
 // Limits on requests, and the retry-after of refusals.
 const (
-	// MaxBodyBytes bounds a request body, which is buffered whole so that the
-	// request can be retried.
+	// MaxBodyBytes is the default of Handler.MaxBody.
 	MaxBodyBytes = 1 << 20
 	// MaxIdempotencyKeyBytes bounds an idempotency key.
 	MaxIdempotencyKeyBytes = 255
-	// MaxInFlight bounds the requests in flight at a node, and so the memory for
-	// request bodies and buffered responses.
+	// MaxIDBytes bounds a request ID that the caller sets: events and the lists of
+	// recent requests keep thousands of them.
+	MaxIDBytes = 512
+	// MaxInFlight is the default of Handler.MaxRequests.
 	MaxInFlight = 2048
+	// workspaceShare is the share of the account of bytes that the requests of one
+	// workspace may hold.
+	workspaceShare = 0.75
 	// writeDeadlineGrace is how long after the request's deadline a caller may
 	// still read the response.
 	writeDeadlineGrace = 5 * time.Second
@@ -47,8 +53,11 @@
 		x.Writer.Header().Set("Connection", "close")
 	}
 	defer h.inFlight.Add(-1)
-	if h.inFlight.Add(1) > MaxInFlight {
-		return coder.New(coder.Overloaded, "more than %d requests in flight", MaxInFlight).WithAfter(overloadRetryAfter)
+	if limit := cmp.Or(h.MaxRequests, MaxInFlight); h.inFlight.Add(1) > int64(limit) {
+		return coder.New(coder.Overloaded, "more than %d requests in flight", limit).WithAfter(overloadRetryAfter)
+	}
+	if len(x.ExternalID) > MaxIDBytes {
+		return coder.New(coder.BadRequest, "the request ID has more than %d bytes", MaxIDBytes)
 	}
 	if x.Index = h.awaitConfiguration(ctx); x.Index == nil {
 		return coder.New(coder.NoConfiguration, "").WithAfter(noConfigurationRetryAfter)
@@ -158,6 +167,7 @@
 	if bound := x.Route.Workspace; bound != "" && bound != x.Workspace.Name {
 		return coder.New(coder.WrongWorkspace, "")
 	}
+	accountant.FromContext(ctx).Move("workspace "+x.Workspace.Name, workspaceShare)
 	return next(ctx, x)
 }
 
@@ -205,16 +215,19 @@
 
 // readBody reads the request's body and idempotency key.
 func (h *Handler) readBody(ctx context.Context, x *Exchange, next Step) error {
-	if x.Request.ContentLength > MaxBodyBytes {
-		return coder.New(coder.BodyTooLarge, "more than %d bytes", MaxBodyBytes)
+	limit := cmp.Or(h.MaxBody, MaxBodyBytes)
+	if x.Request.ContentLength > limit {
+		return coder.New(coder.BodyTooLarge, "more than %d bytes", limit)
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(x.Writer, x.Request.Body, MaxBodyBytes))
-	var tooLarge *http.MaxBytesError
+	body, err := readWhole(ctx, x.Request, limit)
+	var refusal *coder.Error
 	switch {
-	case errors.As(err, &tooLarge):
-		return coder.New(coder.BodyTooLarge, "more than %d bytes", MaxBodyBytes)
+	case errors.Is(err, accountant.ErrTooLarge):
+		return coder.New(coder.BodyTooLarge, "more than %d bytes", limit)
 	case ctx.Err() != nil:
 		return coder.New(coder.DeadlineBefore, "body")
+	case errors.As(err, &refusal):
+		return refusal
 	case err != nil:
 		return coder.New(coder.BadRequest, "request body: %v", err)
 	}
@@ -227,6 +240,19 @@
 	return next(ctx, x)
 }
 
+// readWhole returns the body of a request. One that the server has buffered is not
+// copied, and any other is reserved in the account as it arrives.
+func readWhole(ctx context.Context, r *http.Request, limit int64) ([]byte, error) {
+	if b, ok := r.Body.(interface{ Bytes() []byte }); ok {
+		if int64(len(b.Bytes())) > limit {
+			return nil, accountant.ErrTooLarge
+		}
+		return b.Bytes(), nil
+	}
+	o := accountant.FromContext(ctx)
+	return o.Account().ReadAll(ctx, o, r.Body, r.ContentLength, limit)
+}
+
 // respond forwards the request and writes the response.
 func (h *Handler) respond(ctx context.Context, x *Exchange, _ Step) error {
 	response, err := h.Forward(ctx, x)
