linker: bounds on strangers and on bytes over all links

Cause: each stranger held memory until its handshake timed out, and a failed accept, as without a free descriptor, ended the node; each link could queue 16 MB and copied the whole queue for a write. Change: handshakes are limited (the oldest is closed), accept is tried again, frames and queries count in the account, calls are refused without room, one write copies 256 KB at most. A link without queued frames always takes a reply, so that nodes which are full cannot wait for each other for ever.

--- a/internal/linker/handler.go
+++ b/internal/linker/handler.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/zinniaproxy/zinniaproxy/internal/accountant"
 	"github.com/zinniaproxy/zinniaproxy/internal/messenger"
 	"github.com/zinniaproxy/zinniaproxy/pkg/coder"
 )
@@ -46,13 +47,22 @@
 	}
 	ctx, stop := context.WithTimeout(k.linker.ctx, remaining)
 	s := &handlerStream{cancel: stop, window: newWindow(streamWindowBytes)}
+	if !k.linker.reserveQuery(m) {
+		stop()
+		k.refuse(m.ID, accountant.Overloaded())
+		return
+	}
 	if !k.addHandlerStream(m.ID, s) {
 		stop()
+		k.linker.releaseQuery(m)
 		k.refuse(m.ID, coder.New(coder.Overloaded, "too many streams on the link").WithAfter(overloadRetryAfter))
 		return
 	}
 	q := Query{Peer: k.peer.Node, PeerEpoch: k.peer.Epoch, Method: m.Method, Payload: m.Payload, Delay: delay}
-	go k.runHandler(ctx, m.ID, s, handler, q)
+	go func() {
+		defer k.linker.releaseQuery(m)
+		k.runHandler(ctx, m.ID, s, handler, q)
+	}()
 }
 
 func (k *link) addHandlerStream(id uint64, s *handlerStream) bool {
--- a/internal/linker/link.go
+++ b/internal/linker/link.go
@@ -58,9 +58,10 @@
 	handlerStreams map[uint64]*handlerStream
 	nextID         uint64
 	queue          []outgoingFrame
-	// queuedBytes is the total size of the payloads in queue.
-	queuedBytes int
-	// room is closed when the queue was emptied. It is nil unless a reply waits.
+	// queuedBytes is the total size of the payloads in queue, and accounted what of
+	// the link's frames, queued or being written, counts in the account.
+	queuedBytes, accounted int
+	// room is closed when frames were taken from the queue. It is nil unless a reply waits.
 	room chan struct{}
 	// writing is true while frames that left the queue are being written.
 	writing bool
@@ -92,122 +93,6 @@
 // clock returns this side's link clock: the time since it created the link.
 func (k *link) clock() time.Duration { return time.Since(k.clockStart) }
 
-// enqueue queues a frame for writing. It fails, and sends nothing of the frame, if
-// the link has ended or the queue would exceed maxQueuedBytesPerLink.
-func (k *link) enqueue(o outgoingFrame) error {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if k.closeErr != nil {
-		return coder.New(coder.NotSent, linkLostPrefix+"to %s: %v", k.peer.Node, k.closeErr)
-	}
-	if !k.hasRoom(o) {
-		return coder.New(coder.Overloaded, "link to %s is full", k.peer.Node).WithAfter(overloadRetryAfter)
-	}
-	k.push(o)
-	return nil
-}
-
-// enqueueReply queues a frame of a reply. While the queue is full it waits: the
-// query may have run, so that the reply can be neither dropped nor replaced by a
-// refusal which says that it did not.
-func (k *link) enqueueReply(ctx context.Context, o outgoingFrame) error {
-	for {
-		k.mu.Lock()
-		if k.closeErr != nil {
-			defer k.mu.Unlock()
-			return coder.New(coder.Cut, linkLostPrefix+"to %s: %v", k.peer.Node, k.closeErr)
-		}
-		if k.hasRoom(o) {
-			defer k.mu.Unlock()
-			k.push(o)
-			return nil
-		}
-		if k.room == nil {
-			k.room = make(chan struct{})
-		}
-		room := k.room
-		k.mu.Unlock()
-		select {
-		case <-room:
-		case <-k.done:
-		case <-ctx.Done():
-			return coder.New(coder.Cut, "link to %s is full", k.peer.Node)
-		}
-	}
-}
-
-// hasRoom reports whether the queue has room for a frame. The caller holds the lock.
-func (k *link) hasRoom(o outgoingFrame) bool {
-	return k.queuedBytes+len(o.payload) <= maxQueuedBytesPerLink
-}
-
-// push queues a frame. The caller holds the lock.
-func (k *link) push(o outgoingFrame) {
-	k.linker.traffic.addSent(o.method, int64(len(o.payload)+framer.HeaderBytes), k.crossing)
-	k.queue = append(k.queue, o)
-	k.queuedBytes += len(o.payload)
-	select {
-	case k.writeReady <- struct{}{}:
-	default:
-	}
-}
-
-// drainQueue appends all queued frames to b and marks their streams as started.
-func (k *link) drainQueue(b []byte) []byte {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	for _, o := range k.queue {
-		b = framer.Append(b, framer.Frame{Kind: o.kind, Payload: o.payload})
-		if o.stream != nil {
-			o.stream.started.Store(true)
-		}
-	}
-	k.queue, k.queuedBytes = k.queue[:0], 0
-	k.writing = true
-	if k.room != nil {
-		close(k.room)
-		k.room = nil
-	}
-	return b
-}
-
-func (k *link) endWriting() {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	k.writing = false
-}
-
-// flushed reports whether all frames that were queued are written.
-func (k *link) flushed() bool {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	return len(k.queue) == 0 && !k.writing
-}
-
-func (k *link) writeLoop() {
-	var buf []byte
-	for {
-		select {
-		case <-k.writeReady:
-		case <-k.done:
-			return
-		}
-		buf = k.drainQueue(buf[:0])
-		if err := k.conn.SetWriteDeadline(time.Now().Add(SilenceTimeout)); err != nil {
-			k.closeWith(err)
-			return
-		}
-		if _, err := k.conn.Write(buf); err != nil {
-			k.closeWith(err)
-			return
-		}
-		k.endWriting()
-		if cap(buf) > maxReusedBufferBytes {
-			buf = nil
-		}
-	}
-}
-
 func (k *link) readLoop() {
 	for {
 		f, err := framer.Read(k.reader)
@@ -410,6 +295,7 @@
 		return
 	}
 	k.closeErr = reason
+	k.linker.releaseFrames(k.accounted)
 	queries, handlers := k.queryStreams, k.handlerStreams
 	k.queryStreams, k.handlerStreams, k.queue = map[uint64]*Stream{}, map[uint64]*handlerStream{}, nil
 	k.awaited.Store(0)
--- a/internal/linker/linker.go
+++ b/internal/linker/linker.go
@@ -16,6 +16,9 @@
 	"sync"
 	"time"
 
+	"golang.org/x/time/rate"
+
+	"github.com/zinniaproxy/zinniaproxy/internal/accountant"
 	"github.com/zinniaproxy/zinniaproxy/internal/messenger"
 	"github.com/zinniaproxy/zinniaproxy/internal/tracer"
 	"github.com/zinniaproxy/zinniaproxy/pkg/coder"
@@ -53,7 +56,9 @@
 	maxQueuedBytesPerLink    = 16 << 20
 	streamWindowBytes        = 256 << 10
 	maxReusedBufferBytes     = 64 << 10
-	maxMethods               = 32
+	// maxWriteBytes bounds the frames that one write takes, since it copies them.
+	maxWriteBytes = 256 << 10
+	maxMethods    = 32
 )
 
 // Linker manages the links of one node. Set the exported fields and register the
@@ -74,10 +79,18 @@
 	OwnCentre func(node string) bool
 	// Tracer records events; nil drops them.
 	Tracer *tracer.Tracer
+	// Account is where frames and queries are reserved. Nil means no limit.
+	Account *accountant.Account
+	// MaxHandshakes bounds the accepted connections that are not authenticated yet. 0
+	// means DefaultMaxHandshakes.
+	MaxHandshakes int
+	// Refused counts the connections that were closed, by kind. It may be nil.
+	Refused func(kind string)
 
-	handlers [maxMethods]Handler
-	traffic  traffic
-	ctx      context.Context
+	handshakes handshakes
+	handlers   [maxMethods]Handler
+	traffic    traffic
+	ctx        context.Context
 
 	mu           sync.Mutex
 	links        map[string]*link
@@ -119,6 +132,7 @@
 
 // Run accepts links from ln until ctx ends, then closes all links.
 func (l *Linker) Run(ctx context.Context, ln net.Listener) error {
+	l.handshakes.log = rate.Sometimes{First: refusalsLogged, Interval: refusalLogInterval}
 	l.mu.Lock()
 	l.ctx = ctx
 	l.links, l.allLinks, l.pendingDials = map[string]*link{}, map[*link]bool{}, map[string]*pendingDial{}
@@ -128,14 +142,19 @@
 	go l.checkLoop(ctx)
 	for {
 		conn, err := ln.Accept()
-		if err != nil {
+		var ne net.Error
+		switch {
+		case err == nil:
+			go l.accept(conn)
+		case ctx.Err() != nil:
+			l.closeAll()
+			return nil
+		case errors.Is(err, net.ErrClosed) || !errors.As(err, &ne):
 			l.closeAll()
-			if ctx.Err() != nil {
-				return nil
-			}
 			return err
+		default:
+			time.Sleep(acceptRetryDelay)
 		}
-		go l.accept(conn)
 	}
 }
 
@@ -189,16 +208,6 @@
 	}
 }
 
-func (l *Linker) accept(conn net.Conn) {
-	reader, peer, err := l.handshake(conn, false)
-	if err != nil {
-		conn.Close()
-		l.Tracer.Add(tracer.Event{Kind: "link-refused", Detail: err.Error()})
-		return
-	}
-	l.addLink(newLink(l, peer, conn, reader, false))
-}
-
 // addLink starts to use a link, and returns false if the linker has stopped. New
 // queries to the peer use this link instead of the current one if this node dialed
 // it or the peer's process is newer.
--- a/internal/linker/stream.go
+++ b/internal/linker/stream.go
@@ -26,12 +26,17 @@
 	// nextSequence is the sequence number expected of the next message.
 	nextSequence uint32
 	ended        bool
+	// dropped is true when nobody will receive further messages.
+	dropped bool
 }
 
 // push queues a message for Recv.
 func (s *Stream) push(m data) {
 	s.mu.Lock()
-	s.messages = append(s.messages, m)
+	if !s.dropped {
+		s.messages = append(s.messages, m)
+		s.charge(len(m.Payload))
+	}
 	s.mu.Unlock()
 	select {
 	case s.ready <- struct{}{}:
@@ -85,9 +90,26 @@
 	}
 	m := s.messages[0]
 	s.messages = s.messages[1:]
+	s.charge(-len(m.Payload))
 	return m, true
 }
 
+// charge counts bytes of the reply that wait for Recv in the account. They are
+// bounded by the stream's window.
+func (s *Stream) charge(bytes int) {
+	s.link.linker.Account.Charge(s.link.linker.owner(), int64(bytes))
+}
+
+// drop forgets the messages that nobody will receive.
+func (s *Stream) drop() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, m := range s.messages {
+		s.charge(-len(m.Payload))
+	}
+	s.messages, s.dropped = nil, true
+}
+
 func (s *Stream) consume(m data) ([]byte, bool, error) {
 	if m.Refusal {
 		s.markEnded()
@@ -128,6 +150,7 @@
 // Close cancels the query at the peer, unless the stream has ended. It may be
 // called more than once.
 func (s *Stream) Close() {
+	defer s.drop()
 	s.mu.Lock()
 	ended := s.ended
 	s.ended = true
