node: memory, descriptors and limits of clients as settings

Change: the account's limit, Go's memory limit and the limits of connections follow from memory and descriptors; eleven settings override them. The auxiliary servers run on httpserver with limits of their own; responses there are buffered and keep their length. Each kind of refusal has a counter and a log line a second at most.

--- a/internal/commander/node.go
+++ b/internal/commander/node.go
@@ -103,9 +103,26 @@
 	set.Var((*numberFlag)(&s.Ratio), "ratio", "extra attempts that each request adds to the retry budget")
 	set.Var((*numberFlag)(&s.Slack), "slack", "extra attempts that a service may make fleet-wide beyond the ratio")
 	set.Var((*numberFlag)(&s.Excess), "excess", "requests beyond its rate and burst that a workspace may send with shared rates")
+	f.registerLimits(set)
 	set.StringVar(&s.Level, "level", "", "level of the log: error, info or debug (default info)")
 }
 
+// registerLimits registers the limits of what clients can make a node hold.
+func (f *nodeFlags) registerLimits(set *flag.FlagSet) {
+	l := &f.settings.Limits
+	set.Var((*numberFlag)(&l.Memory), "memory", "MB of memory for node and target (default the cgroup's limit, else GOMEMLIMIT, else 256)")
+	set.Var((*numberFlag)(&l.Connections), "connections", "highest number of callers' connections (default by the limit of descriptors)")
+	set.Var((*numberFlag)(&l.Body), "body", "longest body of a request in bytes (default 1048576)")
+	set.Var((*numberFlag)(&l.Head), "head", "longest head of a request in bytes (default 65536)")
+	set.Var((*numberFlag)(&l.Pipelined), "pipelined", "highest number of requests in flight of one connection (default 16)")
+	set.Var((*numberFlag)(&l.Requests), "requests", "highest number of requests in flight (default 2048)")
+	set.Var((*numberFlag)(&l.MinRate), "minrate", "bytes per second at which a request must arrive and a response be read (default 1024)")
+	set.Var((*numberFlag)(&l.RateTime), "ratetime", "milliseconds that a client may take besides (default 5000)")
+	set.Var((*numberFlag)(&l.Handshakes), "handshakes", "highest number of unauthenticated connections at the link address (default 64)")
+	set.Var((*numberFlag)(&l.AuxConnections), "auxconnections", "highest number of connections at each of the admin, readiness and announcement addresses (default 64)")
+	set.Var((*numberFlag)(&l.AuxHead), "auxhead", "longest head of a request there in bytes (default 8192)")
+}
+
 // resolveSettings returns the settings with defaults and the secret file's
 // content filled in, or an error if they are invalid.
 func resolveSettings(s settingsloader.Settings, secretFile string) (settingsloader.Settings, error) {
--- a/internal/measurer/measurer.go
+++ b/internal/measurer/measurer.go
@@ -68,6 +68,11 @@
 	m.target.Update(took.Microseconds())
 }
 
+// Refused counts n clients that were refused or disconnected in a way.
+func (m *Measurer) Refused(kind string, n int64) {
+	metrics.GetOrRegisterCounter("clients.refused."+kind, m.Registry).Inc(n)
+}
+
 // StoreCall records a call to the platform's store. The duration of watches is
 // not recorded, as they wait for a change by design.
 func (m *Measurer) StoreCall(kind string, start time.Time, err error) {
--- a/internal/measurer/table.go
+++ b/internal/measurer/table.go
@@ -47,6 +47,9 @@
 	{"prober.suspicions", "count", "of nodes that did not answer"},
 	{"log.dropped", "lines", "for which the buffer had no room"},
 	{"process.memory", "bytes", "that the process has from the operating system"},
+	{"account.used", "bytes", "held for clients and other nodes now"},
+	{"account.waiting", "reservations", "for which the account has no room now"},
+	{"clients.refused.KIND", "clients", "refused or disconnected in that way, see operators/clients.md"},
 }
 
 // Lookup returns the row that describes a metric.
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -36,6 +36,8 @@
 	m.Gauge("retry.redirects", func() int64 { return c.Retrier.Counts().Redirects })
 	m.Gauge("retry.left", func() int64 { return int64(c.Retrier.Budget()) })
 	m.Gauge("process.memory", processMemory)
+	m.Gauge("account.used", c.Account.Used)
+	m.Gauge("account.waiting", func() int64 { return int64(c.Account.Waiting()) })
 	if c.Platform.DroppedLogLines != nil {
 		m.Gauge("log.dropped", c.Platform.DroppedLogLines)
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -11,6 +11,7 @@
 
 	"github.com/go-logr/logr"
 
+	"github.com/zinniaproxy/zinniaproxy/internal/accountant"
 	"github.com/zinniaproxy/zinniaproxy/internal/adminserver"
 	"github.com/zinniaproxy/zinniaproxy/internal/admitter"
 	"github.com/zinniaproxy/zinniaproxy/internal/attemptsender"
@@ -169,6 +170,9 @@
 	Picker              *picker.Picker
 	Limiter             *limiter.Limiter
 	SoftLimiter         *softlimiter.Limiter
+	Account             *accountant.Account
+
+	refusals *refusalLog
 }
 
 // controller is a background job that runs as long as the node.
--- a/internal/node/process.go
+++ b/internal/node/process.go
@@ -20,6 +20,7 @@
 // NewPlatform returns a platform on this machine's network, with the store that
 // the settings name.
 func NewPlatform(s settingsloader.Settings, out *logger.Logger) Platform {
+	setRuntimeLimit(s)
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	m := measurer.New()
 	return Platform{
--- a/internal/node/provide.go
+++ b/internal/node/provide.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/zinniaproxy/zinniaproxy/internal/accountant"
 	"github.com/zinniaproxy/zinniaproxy/internal/adminserver"
 	"github.com/zinniaproxy/zinniaproxy/internal/admitter"
 	"github.com/zinniaproxy/zinniaproxy/internal/attemptsender"
@@ -42,8 +43,19 @@
 	return &tracer.Tracer{Node: s.Name, Centre: s.Centre, Size: eventRingSize, Log: p.Events}
 }
 
-func newLinker(s settingsloader.Settings, e Epoch, p Platform, ms *Membership, t *tracer.Tracer) *linker.Linker {
+func newRefusals(p Platform, m *measurer.Measurer) *refusalLog {
+	for _, kind := range refusalKinds() {
+		m.Refused(kind, 0)
+	}
+	return &refusalLog{
+		count: func(kind string) { m.Refused(kind, 1) },
+		log:   func(kind string, total int64) { p.Log.Info("clients refused", "kind", kind, "total", total) },
+	}
+}
+
+func newLinker(s settingsloader.Settings, e Epoch, p Platform, ms *Membership, a *accountant.Account, r *refusalLog, t *tracer.Tracer) *linker.Linker {
 	return &linker.Linker{
+		Account: a, MaxHandshakes: newClientLimits(s).handshakes, Refused: r.add,
 		Node: s.Name, Epoch: uint64(e), Secret: []byte(s.Secret),
 		Dial: p.Dial, Resolve: ms.Resolve, OwnCentre: ms.InOwnCentre, Tracer: t,
 	}
@@ -131,6 +143,8 @@
 		KeysCurrent:          a.MayAcceptKeys,
 		Limit:                limit,
 		Entry:                entry,
+		MaxBody:              int64(s.Body),
+		MaxRequests:          int(s.Requests),
 		Forward:              rr.Forward,
 		Count:                m.Request,
 	}
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -6,20 +6,12 @@
 	"net"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/zinniaproxy/zinniaproxy/internal/httpserver"
 	"github.com/zinniaproxy/zinniaproxy/internal/tracer"
 )
 
-// auxServer is the admin server or one of Platform.ExtraServers.
-type auxServer struct {
-	server   *http.Server
-	listener net.Listener
-	closed   atomic.Bool
-}
-
 // callerServer is the HTTP server for callers.
 type callerServer struct {
 	server   *httpserver.Server
@@ -33,10 +25,13 @@
 	if err != nil {
 		return nil, err
 	}
+	s := n.Settings
 	cs := &callerServer{listener: ln, server: &httpserver.Server{
 		Handler: n.EntryHandler, RunConcurrently: n.EntryHandler.Idempotent, Leaving: n.Drainer.Leaving,
-		HeadTimeout: headerTimeout, IdleTimeout: idleConnTimeout, MaxHeadBytes: maxHeaderBytes,
-		IDHeader: n.Platform.dialect().RequestIDHeader,
+		HeadTimeout: headerTimeout, IdleTimeout: idleConnTimeout, MaxHeadBytes: int(orDefault(s.Head, maxHeaderBytes)),
+		IDHeader: n.Platform.dialect().RequestIDHeader, MaxPipelined: int(s.Pipelined), MaxConns: newClientLimits(s).conns,
+		MinRate: int(s.MinRate), RateTime: millisOrDefault(s.RateTime, 0),
+		Account: n.Account, Overloaded: n.EntryHandler.RefuseOverloaded, Refused: n.refusals.add,
 	}}
 	wg.Go(func() {
 		if err := cs.server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
@@ -75,58 +70,6 @@
 	return cs.server.Abort(ctx)
 }
 
-// serve starts an HTTP server. A later failure is sent to failed.
-func (n *Node) serve(address string, h http.Handler, wg *sync.WaitGroup, failed chan<- error) (*auxServer, error) {
-	ln, err := n.Platform.Listen(address)
-	if err != nil {
-		return nil, err
-	}
-	as := &auxServer{listener: ln}
-	as.server = &http.Server{
-		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleConnTimeout, MaxHeaderBytes: maxHeaderBytes,
-	}
-	wg.Go(func() {
-		if err := as.server.Serve(ln); !errors.Is(err, http.ErrServerClosed) && !as.closed.Load() {
-			failed <- err
-		}
-	})
-	return as, nil
-}
-
-// serveExtra starts the servers of Platform.ExtraServers. With an error it returns
-// those that it has started.
-func (n *Node) serveExtra(wg *sync.WaitGroup, failed chan<- error) ([]*auxServer, error) {
-	if n.Platform.ExtraServers == nil {
-		return nil, nil
-	}
-	var servers []*auxServer
-	for _, es := range n.Platform.ExtraServers(n) {
-		as, err := n.serve(es.Address, es.Handler, wg, failed)
-		if err != nil {
-			return servers, err
-		}
-		servers = append(servers, as)
-	}
-	return servers, nil
-}
-
-// closeAll closes servers at once.
-func closeAll(servers []*auxServer) (err error) {
-	for _, as := range servers {
-		as.closed.Store(true)
-		err = errors.Join(err, as.server.Close())
-	}
-	return err
-}
-
-// shutdown stops the server once its requests have ended, or at the timeout.
-func (as *auxServer) shutdown(timeout time.Duration) error {
-	ctx, stop := context.WithTimeout(context.Background(), timeout)
-	defer stop()
-	as.closed.Store(true)
-	return as.server.Shutdown(ctx)
-}
-
 // shutdown stops the node without aborting requests: it notifies peers and
 // callers, then accepts no new work and waits for the calls in flight.
 func (n *Node) shutdown(callers *callerServer, others []*auxServer) error {
@@ -190,3 +133,11 @@
 	}
 	return time.Duration(ms * float64(time.Millisecond))
 }
+
+// orDefault returns a setting, or the fallback if it is 0.
+func orDefault(setting, fallback float64) float64 {
+	if setting == 0 {
+		return fallback
+	}
+	return setting
+}
--- a/internal/node/wire.go
+++ b/internal/node/wire.go
@@ -11,7 +11,7 @@
 // New returns a node with all of its components connected. Run starts it.
 func New(s settingsloader.Settings, p Platform) *Node {
 	wire.Build(
-		newEpoch, newTracer, newMeasurer, newProber, newMemberRecorder, newGossiper, newMembership, newConfigurer, newAuthenticator,
+		newEpoch, newTracer, newMeasurer, newAccount, newRefusals, newProber, newMemberRecorder, newGossiper, newMembership, newConfigurer, newAuthenticator,
 		newDetector, newAdmitter, newPicker, newLimiter, newSoftLimiter, newLinker, newTargetRegistrar,
 		newTargetSender, newDeduper, newRetrier, newIdempotencyRecorder, newDrainer, newCrashWatcher, newQuarantiner, newExitHandler, newNoter, newLoadProber, newAttemptSender, newRequestRunner, newEntryHandler, newAdminServer,
 		wire.Struct(new(components), "*"), bind,
--- a/internal/node/wire_gen.go
+++ b/internal/node/wire_gen.go
@@ -20,7 +20,9 @@
 	prober := newProber(s, epoch)
 	gossiper := newGossiper(s, epoch, prober)
 	membership := newMembership(s, prober, gossiper)
-	linker := newLinker(s, epoch, p, membership, tracer)
+	account := newAccount(s)
+	nodeRefusalLog := newRefusals(p, measurer)
+	linker := newLinker(s, epoch, p, membership, account, nodeRefusalLog, tracer)
 	configurer := newConfigurer(s, p, prober, tracer)
 	detector := newDetector(gossiper)
 	admitter := newAdmitter(s, configurer, detector, tracer)
@@ -73,6 +75,8 @@
 		Picker:              picker,
 		Limiter:             limiterLimiter,
 		SoftLimiter:         limiter,
+		Account:             account,
+		refusals:            nodeRefusalLog,
 	}
 	node := bind(nodeComponents)
 	return node
--- a/internal/settingsloader/check.go
+++ b/internal/settingsloader/check.go
@@ -129,6 +129,7 @@
 	c.requireRange("ratio", s.Ratio, 1, ruleFraction)
 	c.requireRange("slack", s.Slack, maxExtraRequests, ruleExtraRequests)
 	c.requireRange("excess", s.Excess, maxExtraRequests, ruleExtraRequests)
+	c.checkLimits(s.Limits)
 }
 
 type checker struct {
--- a/internal/settingsloader/live.go
+++ b/internal/settingsloader/live.go
@@ -112,10 +112,14 @@
 }
 
 // changedNames returns the lower-case field names of the settings that differ.
-func changedNames(a, b Settings) []string {
+func changedNames(a, b any) []string {
 	var out []string
 	x, y := reflect.ValueOf(a), reflect.ValueOf(b)
 	for i := range x.NumField() {
+		if limits, ok := x.Field(i).Interface().(Limits); ok {
+			out = append(out, changedNames(limits, y.Field(i).Interface())...)
+			continue
+		}
 		if !reflect.DeepEqual(x.Field(i).Interface(), y.Field(i).Interface()) {
 			out = append(out, strings.ToLower(x.Type().Field(i).Name))
 		}
--- a/internal/settingsloader/settings.go
+++ b/internal/settingsloader/settings.go
@@ -70,6 +70,7 @@
 	// Excess is how many requests beyond its rate and burst a workspace may send
 	// over the whole fleet with shared rates.
 	Excess float64 `json:"excess"`
+	Limits
 }
 
 // PrefersAvailability reports whether availability goes before strictness, which
