httpserver: a head that cannot be read further is refused for that reason

Cause: the parser takes the part of a line before a failed read for a malformed line, so that a head above the limit, or without room in the account, was often answered with 400. Change: the reader keeps the reason. Test: a large head cut in a field's name (400 before, 431 now); the largest head is served in calm.

--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -154,7 +155,7 @@
 	k.reader.endHead()
 	if err != nil {
 		k.setReading(false)
-		k.handleReadError(err)
+		k.handleReadError(cmp.Or(k.reader.failure, err))
 		return false
 	}
 	if reason := invalidReason(req); reason != "" {
--- a/internal/httpserver/httpserver_test.go
+++ b/internal/httpserver/httpserver_test.go
@@ -185,6 +185,7 @@
 		{"no host", "GET / HTTP/1.1\n\n", http.StatusBadRequest},
 		{"no request", "hello\n\n", http.StatusBadRequest},
 		{"large head", "GET / HTTP/1.1\nHost: h\nX: " + strings.Repeat("x", 20_000) + "\n\n", http.StatusRequestHeaderFieldsTooLarge},
+		{"large head cut in a name", "GET / HTTP/1.1\nHost: h\n" + strings.Repeat("x", 20_000) + ":\n\n", http.StatusRequestHeaderFieldsTooLarge},
 		{"two lengths", "POST / HTTP/1.1\nHost: h\nContent-Length: 3\nContent-Length: 4\n\nabc", http.StatusBadRequest},
 		{"HTTP/2", "PRI * HTTP/2.0\n\nSM\n\n", http.StatusBadRequest},
 	} {
--- a/internal/httpserver/limits_test.go
+++ b/internal/httpserver/limits_test.go
@@ -142,6 +142,23 @@
 	qt.Check(t, refused.has(RefusedCrowded) && refused.has(RefusedConnection), qt.IsTrue)
 }
 
+// Guards against a request within the limits that the account of the smallest setting
+// of memory has no room for, although nothing else is held.
+func TestLargestRequestIsServedInCalm(t *testing.T) {
+	s := &Server{Handler: http.HandlerFunc(echo), Account: &accountant.Account{Limit: 8 << 20}}
+	c := dial(t, serve(t, s))
+	var fields strings.Builder
+	for i := 0; fields.Len()+i < DefaultMaxHeadBytes-2000; i++ {
+		fmt.Fprintf(&fields, "%x:\n", i)
+	}
+	for range 3 {
+		c.send("POST /large HTTP/1.1\nHost: h\nContent-Length: 262144\n" + fields.String() + "\n" + strings.Repeat("b", maxBufferedBodyBytes))
+		status, body := c.read()
+		qt.Assert(t, status, qt.Equals, http.StatusOK, qt.Commentf("%.100s", body))
+		qt.Check(t, len(body), qt.Equals, len("/large")+maxBufferedBodyBytes)
+	}
+}
+
 // Guards against clients that stop half-way and so keep others out for good: the
 // connection that holds most is refused, and an ordinary request is answered.
 func TestFullAccount(t *testing.T) {
--- a/internal/httpserver/reader.go
+++ b/internal/httpserver/reader.go
@@ -48,6 +48,9 @@
 	// headRemaining is how many bytes of a head may still be read; below 0 no head
 	// is read.
 	headRemaining int64
+	// failure is why the head could not be read further, nil if it could. The parser
+	// takes the part of a line before it for a malformed line.
+	failure error
 	// headCost is what was reserved for the head.
 	headCost int64
 	// timed is true while the head or body of a request is read.
@@ -63,7 +66,7 @@
 
 // beginRequest starts the head of a request, of which ahead bytes were read.
 func (r *reader) beginRequest(maxHead int64, ahead int) {
-	r.headRemaining, r.headCost, r.timed, r.pace = maxHead, 0, true, pace{bytes: int64(ahead)}
+	r.headRemaining, r.headCost, r.failure, r.timed, r.pace = maxHead, 0, nil, true, pace{bytes: int64(ahead)}
 	r.conn.mu.Lock()
 	defer r.conn.mu.Unlock()
 	r.limit, r.since, r.owner = time.Time{}, time.Now(), r.conn.next
@@ -98,13 +101,15 @@
 		r.hasFirst = false
 		return copy(b, r.first[:]), nil
 	case r.headRemaining == 0:
-		return 0, errHeadTooLarge
+		r.failure = errHeadTooLarge
+		return 0, r.failure
 	case r.headRemaining > 0:
 		n, err := r.readTimed(b[:min(int64(len(b)), r.headRemaining)])
 		r.headRemaining -= int64(n)
 		if err == nil {
 			err = r.reserveHead(int64(n + headLineBytes*bytes.Count(b[:n], []byte("\n"))))
 		}
+		r.failure = err
 		return n, err
 	case r.timed:
 		return r.readTimed(b)
