--- a/internal/loadprober/episode_test.go
+++ b/internal/loadprober/episode_test.go
@@ -182,7 +182,8 @@
 			})
 			probed := newWorkload(seed)
 			probed.run(func(c *messenger.Call) (messenger.Target, error) {
-				return probed.prober.Choose(t.Context(), c, nil)
+				choice, err := probed.prober.Choose(t.Context(), c, nil)
+				return choice.Target, err
 			})
 			t.Logf("seed %d: random choice %d succeeded, %d hung; probes %d succeeded, %d hung, %d rejected",
 				seed, baseline.succeeded, baseline.hung, probed.succeeded, probed.hung, probed.rejected)
--- a/internal/loadprober/floor_test.go
+++ b/internal/loadprober/floor_test.go
@@ -56,7 +56,8 @@
 				}
 				for i := range 400 {
 					time.Sleep(50 * time.Millisecond)
-					target, err := p.Choose(t.Context(), &messenger.Call{Service: "s"}, nil)
+					choice, err := p.Choose(t.Context(), &messenger.Call{Service: "s"}, nil)
+					target := choice.Target
 					qt.Assert(t, err, qt.IsNil)
 					called[target.Name] = time.Now()
 					p.RecordOutcome(&messenger.Call{Service: "s"}, i%10 >= tc.failures)
@@ -154,7 +155,8 @@
 }
 
 func (f *idleFleet) call(t *testing.T, c *messenger.Call) {
-	target, err := f.prober.Choose(t.Context(), c, nil)
+	choice, err := f.prober.Choose(t.Context(), c, nil)
+	target := choice.Target
 	qt.Assert(t, err, qt.IsNil)
 	f.called[target.Name] = time.Now()
 	if f.suspects[target.Name] {
--- a/internal/loadprober/loadprober.go
+++ b/internal/loadprober/loadprober.go
@@ -30,10 +30,6 @@
 	// maxPreferredLoad is the load above which targets of other data centres
 	// are probed too: a call would queue for a slot.
 	maxPreferredLoad = 1.2
-	// suspectRetryAfter is the retry-after of a call for which all probed
-	// targets were too risky. Fault episodes last seconds, and some end
-	// meanwhile.
-	suspectRetryAfter = 400 * time.Millisecond
 	// maxPreferredRisk is the weighted risk above which targets of other data
 	// centres are probed too.
 	maxPreferredRisk = 0.8
@@ -114,13 +110,35 @@
 type candidate struct {
 	target      messenger.Target
 	score, risk float64
-	// sufficient tells that no further targets need to be probed.
-	sufficient bool
+	// sufficient tells that no further targets need to be probed, and free that the
+	// target has a free slot and is not suspected.
+	sufficient, free bool
+	// next is the second best target, with nextScore, or nil.
+	next      *messenger.Target
+	nextScore float64
 	// idle is the probed target that has gone without calls for longest, and
 	// soundIdle that of those which are not suspected.
 	idle, soundIdle idleTarget
 }
 
+// consider takes another target into account as second best.
+func (b *candidate) consider(t *messenger.Target, score float64) {
+	if t != nil && t.Name != b.target.Name && (b.next == nil || score < b.nextScore) {
+		b.next, b.nextScore = t, score
+	}
+}
+
+// Choice is where an attempt may go.
+type Choice struct {
+	// Target is the best target.
+	Target messenger.Target
+	// Next is the second best one, or nil.
+	Next *messenger.Target
+	// Free tells that Target had a free slot and was not suspected when it was
+	// probed. Otherwise the call should reserve a slot before its body is sent.
+	Free bool
+}
+
 // idleTarget is a target that has gone without calls for a time, at least
 // trialIdleTime. The zero value is none.
 type idleTarget struct {
@@ -135,30 +153,25 @@
 	return b
 }
 
-// Choose returns the target for an attempt. While calls of the service or of the
+// Choose returns where an attempt may go. While calls of the service or of the
 // route fail, a target that has gone without calls is tried, so that none stays out
 // for longer than its episode while callers are refused: any with an idempotent
 // call, and one that is not suspected with a non-idempotent one. If all probed
-// targets are likely to hang, a non-idempotent call goes to one that is idle, or
-// else is refused at once. The error is a *coder.Error with code NoTarget or
-// Suspect.
-func (p *Prober) Choose(ctx context.Context, c *messenger.Call, tried []string) (messenger.Target, error) {
+// targets are likely to hang, a non-idempotent call goes to one that is idle. The
+// error is a *coder.Error with code NoTarget.
+func (p *Prober) Choose(ctx context.Context, c *messenger.Call, tried []string) (Choice, error) {
 	best, ok := p.chooseCandidate(ctx, c, tried)
 	switch {
 	case !ok:
-		return messenger.Target{}, coder.New(coder.NoTarget, "service %s has no eligible target", c.Service)
+		return Choice{}, coder.New(coder.NoTarget, "service %s has no eligible target", c.Service)
 	case !c.Once && best.idle.time > 0 && p.troubles.include(c):
-		return best.idle.target, nil
+		return Choice{Target: best.idle.target, Free: true}, nil
 	case c.Once && best.soundIdle.time > 0 && p.troubles.include(c):
-		return best.soundIdle.target, nil
-	case c.Insist:
-		return best.target, nil
-	case c.Once && best.risk > breaker.MaxRelaxedNonIdempotentRisk && best.idle.time >= breaker.MaxIdleTime:
-		return best.idle.target, nil
-	case c.Once && best.risk > breaker.MaxRelaxedNonIdempotentRisk:
-		return messenger.Target{}, coder.New(coder.Suspect, "all probed targets are likely to hang, the best with risk %.2f", best.risk).WithAfter(suspectRetryAfter)
+		return Choice{Target: best.soundIdle.target, Free: true}, nil
+	case c.Once && !c.Insist && best.risk > breaker.MaxRelaxedNonIdempotentRisk && best.idle.time >= breaker.MaxIdleTime:
+		return Choice{Target: best.idle.target, Free: true}, nil
 	}
-	return best.target, nil
+	return Choice{Target: best.target, Next: best.next, Free: best.free}, nil
 }
 
 func (p *Prober) chooseCandidate(ctx context.Context, c *messenger.Call, tried []string) (candidate, bool) {
@@ -177,8 +190,9 @@
 	remote, ok := p.bestCandidate(ctx, c, p.Candidates(c.Service, tried, maxProbes, true))
 	idle, soundIdle := longestIdle(best.idle, remote.idle), longestIdle(best.soundIdle, remote.soundIdle)
 	if ok && remote.score+minRemoteGain < best.score {
-		best = remote
+		best, remote = remote, best
 	}
+	best.consider(&remote.target, remote.score)
 	best.idle, best.soundIdle = idle, soundIdle
 	return best, true
 }
@@ -191,7 +205,7 @@
 		return candidate{}, false
 	case 1:
 		if targets[0].Node != p.Self {
-			return candidate{target: targets[0], sufficient: true}, true
+			return candidate{target: targets[0], sufficient: true, free: true}, true
 		}
 	}
 	var best candidate
@@ -205,10 +219,17 @@
 			}
 		}
 		sc := score(c, report) + p.bodyCost(c, targets[i])
-		if i == 0 || sc < best.score {
-			best = candidate{target: targets[i], score: sc}
+		if i > 0 && sc >= best.score {
+			best.consider(&targets[i], sc)
+		} else {
+			former := best
+			best = candidate{target: targets[i], score: sc, next: former.next, nextScore: former.nextScore}
+			if i > 0 {
+				best.consider(&former.target, former.score)
+			}
 			if report != nil {
 				best.risk = report.Risk
+				best.free = report.hasRoom(c)
 				best.sufficient = riskWeight(c)*report.Risk <= maxPreferredRisk && report.load() < maxPreferredLoad && report.StartDelay == 0
 			}
 		}
@@ -257,6 +278,11 @@
 	return float64(r.Queue+r.InFlight) / float64(max(r.Limit, 1))
 }
 
+// hasRoom reports whether a call could start at once at a target.
+func (r *Report) hasRoom(c *messenger.Call) bool {
+	return r.Queue == 0 && r.InFlight < r.Limit && r.StartDelay == 0 && (!c.Once || r.Risk <= breaker.MaxRelaxedNonIdempotentRisk)
+}
+
 // probeResult is the load report of the target at index, nil if its probe
 // failed.
 type probeResult struct {
--- a/internal/loadprober/rate_test.go
+++ b/internal/loadprober/rate_test.go
@@ -32,7 +32,8 @@
 		p.RecordOutcome(&messenger.Call{Service: "s"}, false)
 	}
 	for _, once := range []bool{false, true} {
-		chosen, err := p.Choose(t.Context(), &messenger.Call{Service: "s", Once: once}, nil)
+		choice, err := p.Choose(t.Context(), &messenger.Call{Service: "s", Once: once}, nil)
+		chosen := choice.Target
 		qt.Assert(t, err, qt.IsNil)
 		qt.Check(t, chosen.Name, qt.Equals, "waiting")
 	}
--- a/internal/node/load.go
+++ b/internal/node/load.go
@@ -17,6 +17,7 @@
 	"github.com/zinniaproxy/zinniaproxy/internal/noter"
 	"github.com/zinniaproxy/zinniaproxy/internal/picker"
 	"github.com/zinniaproxy/zinniaproxy/internal/prober"
+	"github.com/zinniaproxy/zinniaproxy/internal/reserver"
 	"github.com/zinniaproxy/zinniaproxy/internal/settingsloader"
 	"github.com/zinniaproxy/zinniaproxy/internal/targetregistrar"
 	"github.com/zinniaproxy/zinniaproxy/internal/tracer"
@@ -88,15 +89,20 @@
 }
 
 // pickByLoadProbe returns a pickFunc that compares the load reports of a few exit
-// nodes.
-func pickByLoadProbe(p *picker.Picker, lp *loadprober.Prober) pickFunc {
+// nodes. If none has a free slot at a target that is not suspected, the call
+// reserves one at the best two, and its body stays here meanwhile.
+func pickByLoadProbe(p *picker.Picker, lp *loadprober.Prober, rs *reserver.Client) pickFunc {
 	return func(ctx context.Context, c *messenger.Call, tried []string) (messenger.Target, func(attemptsender.Outcome), error) {
-		t, err := lp.Choose(ctx, c, tried)
+		c.RelaxRiskLimit = true // the best of several targets may have a higher risk
+		choice, err := lp.Choose(ctx, c, tried)
+		t := choice.Target
+		if err == nil && !choice.Free && !c.Wait {
+			t, err = reserve(ctx, rs, c, choice)
+		}
 		if err != nil {
 			lp.RecordOutcome(c, false)
 			return t, nil, err
 		}
-		c.RelaxRiskLimit = true // the best of several targets may have a higher risk
 		done := p.Begin(t)
 		return t, func(o attemptsender.Outcome) {
 			if !isCanceled(o.Err) {
@@ -107,6 +113,18 @@
 	}
 }
 
+// reserve waits for a slot at one of two targets, and lets the call carry the
+// reservation.
+func reserve(ctx context.Context, rs *reserver.Client, c *messenger.Call, choice loadprober.Choice) (messenger.Target, error) {
+	requests := []reserver.Request{{Target: choice.Target, Call: c}}
+	if choice.Next != nil {
+		requests = append(requests, reserver.Request{Target: *choice.Next, Call: c})
+	}
+	granted, id, err := rs.Acquire(ctx, requests)
+	c.Reservation = id
+	return granted.Target, err
+}
+
 func isCanceled(err error) bool { return err != nil && coder.Of(err).Code == coder.Canceled }
 
 func newLoadProber(s settingsloader.Settings, p *picker.Picker, a *admitter.Admitter, l *linker.Linker, r *targetregistrar.Registrar, n *noter.Noter) *loadprober.Prober {
--- a/internal/node/provide.go
+++ b/internal/node/provide.go
@@ -24,6 +24,7 @@
 	"github.com/zinniaproxy/zinniaproxy/internal/prober"
 	"github.com/zinniaproxy/zinniaproxy/internal/quarantiner"
 	"github.com/zinniaproxy/zinniaproxy/internal/requestrunner"
+	"github.com/zinniaproxy/zinniaproxy/internal/reserver"
 	"github.com/zinniaproxy/zinniaproxy/internal/sampler"
 	"github.com/zinniaproxy/zinniaproxy/internal/settingsloader"
 	"github.com/zinniaproxy/zinniaproxy/internal/softlimiter"
@@ -106,10 +107,10 @@
 	return c.Out
 }
 
-func newAttemptSender(s settingsloader.Settings, p *picker.Picker, l *linker.Linker, eh *exithandler.Handler, lp *loadprober.Prober, n *noter.Noter, m *measurer.Measurer, t *tracer.Tracer) *attemptsender.Sender {
+func newAttemptSender(s settingsloader.Settings, p *picker.Picker, l *linker.Linker, eh *exithandler.Handler, lp *loadprober.Prober, rs *reserver.Client, n *noter.Noter, m *measurer.Measurer, t *tracer.Tracer) *attemptsender.Sender {
 	pick := pickFromState(p)
 	if s.PrefersAvailability() {
-		pick = pickByLoadProbe(p, lp)
+		pick = pickByLoadProbe(p, lp, rs)
 	}
 	return &attemptsender.Sender{
 		Node: s.Name, Open: l.Open, Local: &exithandler.Local{Serve: eh.Serve}, Pick: pick, Tracer: t,
--- a/internal/node/wire_gen.go
+++ b/internal/node/wire_gen.go
@@ -36,16 +36,16 @@
 	watcher := newCrashWatcher(p, quarantiner, tracer)
 	handler := newExitHandler(registrar, admitter, sender, deduper, drainer, watcher, quarantiner, measurer, tracer)
 	loadproberProber := newLoadProber(s, picker, admitter, linker, registrar, noter)
-	attemptsenderSender := newAttemptSender(s, picker, linker, handler, loadproberProber, noter, measurer, tracer)
+	server := newReservationServer(registrar, admitter, drainer)
+	client := newReserver(s, linker, server, noter)
+	attemptsenderSender := newAttemptSender(s, picker, linker, handler, loadproberProber, client, noter, measurer, tracer)
 	limiter := newSoftLimiter(s, p, configurer, prober)
 	authenticator := newAuthenticator(s, configurer, prober)
 	limiterLimiter := newLimiter(s, epoch, p, configurer, prober, tracer)
 	runner := newRequestRunner(attemptsenderSender, linker, retrier, recorder, quarantiner)
 	entryhandlerHandler := newEntryHandler(s, epoch, p, limiter, configurer, authenticator, limiterLimiter, prober, runner, drainer, measurer, tracer)
-	server := newAdminServer(s, configurer, membership, registrar, drainer, limiterLimiter, quarantiner, measurer, tracer)
+	adminserverServer := newAdminServer(s, configurer, membership, registrar, drainer, limiterLimiter, quarantiner, measurer, tracer)
 	memberRecorder := newMemberRecorder(p, prober)
-	reserverServer := newReservationServer(registrar, admitter, drainer)
-	client := newReserver(s, linker, reserverServer, noter)
 	nodeComponents := components{
 		Settings:            s,
 		Platform:            p,
@@ -63,7 +63,7 @@
 		ExitHandler:         handler,
 		AttemptSender:       attemptsenderSender,
 		EntryHandler:        entryhandlerHandler,
-		AdminServer:         server,
+		AdminServer:         adminserverServer,
 		Prober:              prober,
 		MemberRecorder:      memberRecorder,
 		Gossiper:            gossiper,
@@ -74,7 +74,7 @@
 		Admitter:            admitter,
 		Picker:              picker,
 		Reserver:            client,
-		ReservationServer:   reserverServer,
+		ReservationServer:   server,
 		Limiter:             limiterLimiter,
 		SoftLimiter:         limiter,
 	}
--- a/internal/reserver/client.go
+++ b/internal/reserver/client.go
@@ -175,7 +175,7 @@
 	q := &Query{
 		ID: call.ID + idSeparator + strconv.FormatUint(c.lastNumber.Add(1), 10), Target: r.Target.Name, Epoch: r.Target.Epoch,
 		Service: call.Service, Workspace: call.Workspace, Route: call.Route, Weight: call.Weight, Rank: call.Rank,
-		Inner: call.Inner, Once: call.Once, RelaxRiskLimit: call.RelaxRiskLimit, Aim: call.Aim, Timeout: call.Timeout,
+		Inner: call.Inner, Once: call.Once, RelaxRiskLimit: call.RelaxRiskLimit, Insist: call.Insist, Aim: call.Aim, Timeout: call.Timeout,
 		Bytes: len(call.Body), Statement: call.Statement,
 	}
 	if deadline, ok := ctx.Deadline(); ok {
--- a/internal/reserver/reserver.go
+++ b/internal/reserver/reserver.go
@@ -26,7 +26,7 @@
 	Service, Workspace, Route string
 	Weight, Rank              int
 	Inner, Once               bool
-	RelaxRiskLimit            bool
+	RelaxRiskLimit, Insist    bool
 	Aim                       time.Duration
 	// Timeout is the time that was left until the request's deadline when the
 	// query was sent.
@@ -59,7 +59,7 @@
 	}
 	return &messenger.Call{
 		ID: attempt, Target: q.Target, Epoch: q.Epoch, Service: q.Service, Workspace: q.Workspace, Route: q.Route,
-		Weight: q.Weight, Rank: q.Rank, Inner: q.Inner, Once: q.Once, RelaxRiskLimit: q.RelaxRiskLimit, Aim: q.Aim,
+		Weight: q.Weight, Rank: q.Rank, Inner: q.Inner, Once: q.Once, RelaxRiskLimit: q.RelaxRiskLimit, Insist: q.Insist, Aim: q.Aim,
 		Timeout: q.Timeout, Statement: q.Statement, Reservation: q.ID,
 	}
 }
--- a/internal/retrier/execution.go
+++ b/internal/retrier/execution.go
@@ -163,6 +163,9 @@
 		if x.hold() {
 			return true
 		}
+		if !x.policy.HoldUntil.IsZero() && x.redirects >= maxRedirectsAfterHold {
+			return false // the request has waited for as long as it could
+		}
 		return x.takeRedirect() && x.sleep(time.Duration(x.redirects)*x.retrier.RedirectBackoff)
 	case retry:
 		return x.takeTargetRetry() && x.sleep(x.retrier.backoff(x.targetRetries))
--- a/internal/retrier/retrier.go
+++ b/internal/retrier/retrier.go
@@ -40,6 +40,9 @@
 	// maxHoldPause bounds the pause between two attempts of a request that waits
 	// for a target. Each attempt costs a few load probes.
 	maxHoldPause = 150 * time.Millisecond
+	// maxRedirectsAfterHold bounds the attempts for want of capacity after the
+	// time in which a request may wait.
+	maxRedirectsAfterHold = 1
 	// cancelGracePeriod is how long attempts in flight have to report how they
 	// ended, after the context of the request is done.
 	cancelGracePeriod = 10 * time.Millisecond
