admitter: inner requests pause every running call of the outer request

The calls that run on a VM were kept one per request ID. When two attempts of a request, or two requests with an ID chosen by callers, ran there, the later one replaced the earlier one: the inner requests of the earlier one paused the wrong call, and none after the later one had ended. All calls of an ID are kept now and paused together.

--- a/internal/admitter/running.go
+++ b/internal/admitter/running.go
@@ -1,16 +1,18 @@
 package admitter
 
 import (
+	"slices"
 	"sync"
 
 	"github.com/zinniaproxy/zinniaproxy/internal/breaker"
 )
 
 // runningCalls holds the calls that run at the targets of this VM, by the ID of
-// their request.
+// their request. Several calls have one ID when a request is hedged or when callers
+// choose the same ID.
 type runningCalls struct {
 	mu        sync.Mutex
-	byRequest map[string]*breaker.AdmittedCall
+	byRequest map[string][]*breaker.AdmittedCall
 }
 
 // add records a call. A nil call, of a node without a circuit breaker, is ignored.
@@ -21,35 +23,46 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.byRequest == nil {
-		r.byRequest = map[string]*breaker.AdmittedCall{}
+		r.byRequest = map[string][]*breaker.AdmittedCall{}
 	}
-	r.byRequest[request] = c
+	r.byRequest[request] = append(r.byRequest[request], c)
 }
 
-// remove ends a call, unless another one of the same request has replaced it.
+// remove ends a call.
 func (r *runningCalls) remove(request string, c *breaker.AdmittedCall) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if c != nil && r.byRequest[request] == c {
+	rest := slices.DeleteFunc(r.byRequest[request], func(o *breaker.AdmittedCall) bool { return o == c })
+	if len(rest) == 0 {
 		delete(r.byRequest, request)
+		return
 	}
+	r.byRequest[request] = rest
 }
 
-func (r *runningCalls) get(request string) *breaker.AdmittedCall {
+// get returns the calls of a request.
+func (r *runningCalls) get(request string) []*breaker.AdmittedCall {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.byRequest[request]
+	return slices.Clone(r.byRequest[request])
 }
 
 // BeginInner records that the target of a running request waits for an inner
 // request of its own: meanwhile the outer one makes progress, however long it
-// takes. The returned function must be called when the inner request has ended. It
-// is nil if no such request runs on this VM.
+// takes. If several calls run for the outer request, it is not known which of them
+// waits, and all are paused. The returned function must be called when the inner
+// request has ended. It is nil if no such request runs on this VM.
 func (a *Admitter) BeginInner(outer string) (end func()) {
-	c := a.running.get(outer)
-	if c == nil {
+	calls := a.running.get(outer)
+	if len(calls) == 0 {
 		return nil
 	}
-	c.Pause()
-	return sync.OnceFunc(c.Resume)
+	for _, c := range calls {
+		c.Pause()
+	}
+	return sync.OnceFunc(func() {
+		for _, c := range calls {
+			c.Resume()
+		}
+	})
 }
