retrier: a wait for a target costs no hedge; fleets that do not wait keep their rules

A request that waited for a target was hedged the moment an attempt started again, since the hedge timer ran on during the wait. A route with an objective lost its redirects but one where rates are not shared and requests do not wait. Repeated hedges and the split of slack into a balance and a refill applied to all fleets; they now need shared rates.

--- a/internal/node/attempts.go
+++ b/internal/node/attempts.go
@@ -54,15 +54,19 @@
 		return r.Ratio
 	}
 	if s.PrefersAvailability() {
-		r.MaxRedirects, r.RedirectBackoff = maxRedirects, fullTargetsPause
+		r.MaxRedirects, r.RedirectBackoff, r.RepeatHedges = maxRedirects, fullTargetsPause, true
 		r.Busy = func(service string) bool { return pi.OwnCentreLoad(service) >= maxHedgeLoad }
 	}
-	if s.Slack > 0 {
+	if s.Slack <= 0 {
+		return r
+	}
+	nodePart := func() float64 { return p.settings(s).Slack / float64(max(len(pr.Alive()), 1)) }
+	r.NodeBudget = nodePart
+	if s.PrefersAvailability() {
 		// Half of the slack may be used at one moment and the other half in the
 		// course of each window, so that both together stay within it.
-		part := func() float64 { return p.settings(s).Slack / 2 / float64(max(len(pr.Alive()), 1)) }
-		r.NodeBudget = func() float64 { return max(part(), 1) }
-		r.NodeRefill = func() float64 { return part() / slackWindow.Seconds() }
+		r.NodeBudget = func() float64 { return max(nodePart()/2, 1) }
+		r.NodeRefill = func() float64 { return nodePart() / 2 / slackWindow.Seconds() }
 	}
 	return r
 }
--- a/internal/retrier/execution.go
+++ b/internal/retrier/execution.go
@@ -72,10 +72,14 @@
 				}
 				continue
 			}
+			holds := x.holds
 			if !x.prepareRetry(action) {
 				return x.fail(x.lastErr)
 			}
 			x.startAttempt()
+			if x.holds > holds {
+				hedge.Reset(x.hedgeInterval()) // no attempt was in flight during the wait
+			}
 		case <-hedge.C:
 			if x.startHedge() {
 				hedge.Reset(x.hedgeInterval())
@@ -163,7 +167,7 @@
 		if x.hold() {
 			return true
 		}
-		if !x.policy.HoldUntil.IsZero() && x.redirects >= maxRedirectsAfterHold {
+		if x.mayHold() && x.redirects >= maxRedirectsAfterHold {
 			return false // the request has waited for as long as it could
 		}
 		return x.takeRedirect() && x.sleep(time.Duration(x.redirects)*x.retrier.RedirectBackoff)
@@ -175,11 +179,16 @@
 	return false
 }
 
+// mayHold reports whether requests such as this one wait for a target at all.
+func (x *execution[R]) mayHold() bool {
+	return x.retrier.RedirectBackoff > 0 && !x.policy.HoldUntil.IsZero()
+}
+
 // hold pauses before the next attempt of a request that may still wait, and
 // reports whether it did.
 func (x *execution[R]) hold() bool {
 	pause := min(x.retrier.RedirectBackoff*time.Duration(x.holds+1), maxHoldPause)
-	if pause == 0 || time.Until(x.policy.HoldUntil) < pause || !x.sleep(pause) {
+	if !x.mayHold() || time.Until(x.policy.HoldUntil) < pause || !x.sleep(pause) {
 		return false
 	}
 	x.holds++
@@ -258,15 +267,15 @@
 // startHedge starts another attempt alongside those that stalled, if allowed. It
 // returns whether a further one may follow.
 func (x *execution[R]) startHedge() bool {
-	if x.policy.NonIdempotent || x.inFlight == 0 || x.retrier.busy(x.policy.Service) {
+	if x.policy.NonIdempotent || x.inFlight == 0 || !x.retrier.RepeatHedges && x.inFlight > 1 || x.retrier.busy(x.policy.Service) {
 		return false
 	}
 	if !x.takeTargetRetry() {
-		return x.targetRetries+1 < x.policy.maxTargets(x.retrier.MaxAttempts) // the budget may allow one later
+		return x.retrier.RepeatHedges && x.targetRetries+1 < x.policy.maxTargets(x.retrier.MaxAttempts) // the budget may allow one later
 	}
 	x.retrier.hedges.Add(1)
 	x.startAttempt()
-	return true
+	return x.retrier.RepeatHedges
 }
 
 func (x *execution[R]) recordLatency(startedAt time.Time) {
--- a/internal/retrier/retrier.go
+++ b/internal/retrier/retrier.go
@@ -112,6 +112,9 @@
 	HedgeQuantile   float64
 	HedgeMinSamples int
 	MinHedgeDelay   time.Duration
+	// RepeatHedges allows a further hedge each time that the latest attempt has
+	// stalled too. Otherwise a request is hedged once.
+	RepeatHedges bool
 	// HistogramPeriod is half of the time that latencies are kept for.
 	HistogramPeriod time.Duration
 	// Backoff is the mean pause before the second retry. It doubles with each
