picker, attemptsender: fleets without shared rates choose targets as before

The load of the other data centre decided on spilling, and attempts avoided only the last four targets, in all fleets. The comparison of loads now needs shared rates. A request that does not wait avoids all targets that it can have tried. Also, a canceled wait for a reservation counts as no failure of its service. The former test of spilling is back beside the new one.

--- a/internal/attemptsender/attempts.go
+++ b/internal/attemptsender/attempts.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/zinniaproxy/zinniaproxy/internal/messenger"
+	"github.com/zinniaproxy/zinniaproxy/internal/retrier"
 	"github.com/zinniaproxy/zinniaproxy/pkg/coder"
 )
 
@@ -45,8 +46,9 @@
 }
 
 // maxTried bounds the targets that the next attempt avoids: a request that waits
-// for capacity asks a target again after some others.
-const maxTried = 4
+// for capacity asks a target again after some others. It is the number of attempts
+// that a request which does not wait can have made before its last one.
+const maxTried = retrier.DefaultMaxAttempts + retrier.DefaultMaxRedirects - 1
 
 // triedTargets returns the names of the targets tried last.
 func (a *Attempts) triedTargets() []string {
--- a/internal/node/load.go
+++ b/internal/node/load.go
@@ -64,6 +64,7 @@
 
 func newPicker(s settingsloader.Settings, cfg *configurer.Configurer, g *gossiper.Gossiper, pr *prober.Prober, n *noter.Noter, t *tracer.Tracer) *picker.Picker {
 	return &picker.Picker{
+		CompareCentres: s.PrefersAvailability(),
 		Down: func(node string) bool {
 			m, ok := pr.Member(node)
 			return ok && m.State != prober.Alive
@@ -100,7 +101,9 @@
 			t, err = reserve(ctx, rs, c, choice)
 		}
 		if err != nil {
-			lp.RecordOutcome(c, false)
+			if !isCanceled(err) {
+				lp.RecordOutcome(c, false)
+			}
 			return t, nil, err
 		}
 		done := p.Begin(t)
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -36,6 +36,9 @@
 	Targets func(service string) []messenger.Target
 	// Index returns the configuration, nil as long as there is none.
 	Index func() *indexer.Index
+	// CompareCentres lets calls spill only to data centres that are less loaded than
+	// the own one. Otherwise the load of the own one decides alone.
+	CompareCentres bool
 	// Down tells that a node is known to be unreachable. It may be nil.
 	Down func(node string) bool
 	// Rand returns a random number in [0, 1).
@@ -196,7 +199,7 @@
 			s.add(t, capacity(t, coldLimit), tiers[i])
 		}
 	}
-	s.setWeights(p.Centre, &p.centreReturns, now)
+	s.setWeights(p, now)
 	s.pruneLoads(targets)
 }
 
--- a/internal/picker/recovery_test.go
+++ b/internal/picker/recovery_test.go
@@ -199,6 +199,9 @@
 		p := r.entryNodes[0]
 		p.Targets = func(string) []messenger.Target { return []messenger.Target{near, far, draining} }
 		c.Check(chosenShare(c, p, far.Name, 1) < 0.1, qt.IsTrue)
+		c.Check(chosenShare(c, p, far.Name, 6) > 0.3, qt.IsTrue)
+		p.CompareCentres = true
+		time.Sleep(time.Minute)                                  // forgets the loads
 		c.Check(chosenShare(c, p, far.Name, 6) < 0.1, qt.IsTrue) // both are full
 		nearFull := func(target string) int {
 			if target == near.Name {
--- a/internal/picker/service.go
+++ b/internal/picker/service.go
@@ -124,9 +124,9 @@
 	return (*meanLoad)(l)
 }
 
-// setWeights sets the weights of the eligible targets for a node of ownCentre.
-func (s *service) setWeights(ownCentre string, returns *centreReturns, now time.Time) {
-	ownCapacity := 0.0
+// setWeights sets the weights of the eligible targets for a picker.
+func (s *service) setWeights(p *Picker, now time.Time) {
+	ownCentre, ownCapacity := p.Centre, 0.0
 	for _, e := range s.eligible {
 		if e.target.Centre == ownCentre && e.tier == ejector.Full {
 			ownCapacity += e.capacity
@@ -135,13 +135,17 @@
 	ownLoad := (*load)(s.meanLoad(ownCentre)).current(now)
 	for i := range s.eligible {
 		e := &s.eligible[i]
-		e.weight = e.capacity * returns.rampFraction(e.target.Centre, now)
+		e.weight = e.capacity * p.centreReturns.rampFraction(e.target.Centre, now)
 		if e.tier == ejector.Reduced {
 			e.weight *= reducedFraction
 		}
 		e.evenWeight = e.weight
 		if e.target.Centre != ownCentre && ownCapacity > 0 {
-			e.weight *= spillFraction(ownLoad, (*load)(s.meanLoad(e.target.Centre)).current(now))
+			remoteLoad := 0.0
+			if p.CompareCentres {
+				remoteLoad = (*load)(s.meanLoad(e.target.Centre)).current(now)
+			}
+			e.weight *= spillFraction(ownLoad, remoteLoad)
 		}
 	}
 }
