loadprober, reserver: the second target exists; a transfer costs less than a refusal

Where the wide draw found no target, an empty target stood as second best, so that the reservation at the real one was never asked for. The cost of a body of 1 MiB was above that of a target which refuses calls or does not answer, so that it stayed there. A draw whose best target accepts no calls was taken as sufficient. A reservation that was not asked for since its context had ended was reported as a service without targets.

--- a/internal/loadprober/loadprober.go
+++ b/internal/loadprober/loadprober.go
@@ -37,6 +37,9 @@
 	// another data centre must be lower by one: bytes between data centres cost
 	// money, and a large body occupies a slow link for long.
 	remoteBodyBytes = 16 << 10
+	// maxBodyCost bounds what a body adds to the score. It is below unansweredScore:
+	// a target that does not answer or refuses calls is worse than any transfer.
+	maxBodyCost = 8.0
 	// minRemoteGain is by how much the score of a target of the second, wide
 	// draw must be lower: traffic between data centres costs money.
 	minRemoteGain = 0.3
@@ -188,8 +191,11 @@
 		tried = append(tried[:len(tried):len(tried)], t.Name)
 	}
 	remote, ok := p.bestCandidate(ctx, c, p.Candidates(c.Service, tried, maxProbes, true))
+	if !ok {
+		return best, true
+	}
 	idle, soundIdle := longestIdle(best.idle, remote.idle), longestIdle(best.soundIdle, remote.soundIdle)
-	if ok && remote.score+minRemoteGain < best.score {
+	if remote.score+minRemoteGain < best.score {
 		best, remote = remote, best
 	}
 	best.consider(&remote.target, remote.score)
@@ -230,7 +236,7 @@
 			if report != nil {
 				best.risk = report.Risk
 				best.free = report.hasRoom(c)
-				best.sufficient = riskWeight(c)*report.Risk <= maxPreferredRisk && report.load() < maxPreferredLoad && report.StartDelay == 0
+				best.sufficient = !report.Unavailable && riskWeight(c)*report.Risk <= maxPreferredRisk && report.load() < maxPreferredLoad && report.StartDelay == 0
 			}
 		}
 	}
@@ -262,7 +268,7 @@
 	if t.Centre == p.Centre {
 		return 0
 	}
-	return float64(len(c.Body)) / remoteBodyBytes
+	return min(float64(len(c.Body))/remoteBodyBytes, maxBodyCost)
 }
 
 func riskWeight(c *messenger.Call) float64 {
--- a/internal/reserver/client.go
+++ b/internal/reserver/client.go
@@ -95,9 +95,20 @@
 			width = maxConcurrent
 		}
 	}
+	if asked == 0 && len(requests) > 0 {
+		err = contextError(ctx)
+	}
 	return Request{}, "", err
 }
 
+// contextError returns the error of a request that was not made, since ctx is done.
+func contextError(ctx context.Context) error {
+	if ctx.Err() == context.DeadlineExceeded {
+		return coder.New(coder.DeadlineBefore, "before a slot was reserved")
+	}
+	return coder.New(coder.Canceled, "before a slot was reserved")
+}
+
 // plan returns the requests in the order in which they are made, those for targets
 // with a free slot first, and how many are made at once.
 func plan(requests []Request) (ordered []Request, width int) {
