reserver: queries are made before the calls are handed back

Acquire returned after the first grant while the goroutine of the other reservation could still read the call, which its caller then changes. The race detector reported it in TestFatalRequestIsKeptFromTargets of internal/node. Queries are now made before their goroutines start.

--- a/internal/reserver/client.go
+++ b/internal/reserver/client.go
@@ -71,7 +71,8 @@
 		if asked < len(requests) && pending < width && ctx.Err() == nil {
 			r := requests[asked]
 			asked, pending = asked+1, pending+1
-			go func() { results <- c.ask(ctx, r) }()
+			q := c.query(ctx, r) // now, since the caller may change the call after the first grant
+			go func() { results <- c.ask(ctx, r, q) }()
 		}
 	}
 	for range width {
@@ -144,9 +145,8 @@
 	}
 }
 
-// ask makes one request, and waits for the grant or the refusal until ctx ends.
-func (c *Client) ask(ctx context.Context, r Request) result {
-	q := c.query(ctx, r)
+// ask makes one request with its query, and waits for the grant or the refusal until ctx ends.
+func (c *Client) ask(ctx context.Context, r Request, q *Query) result {
 	out := result{request: r, id: q.ID}
 	if r.Target.Node == c.Self {
 		reservation, err := c.Local.reserve(ctx, "", q)
