--- a/internal/node/attempts.go
+++ b/internal/node/attempts.go
@@ -34,9 +34,6 @@
 // target after another may hang. Each costs a round trip and reaches no target.
 const maxRedirects = 3
 
-// slackWindow is the time over which Settings.Slack counts.
-const slackWindow = 10 * time.Second
-
 // maxHedgeLoad is the load of a service at which hedging stops, as a fraction of
 // its targets' concurrency limits: calls begin to wait for slots.
 const maxHedgeLoad = 0.95
@@ -54,19 +51,11 @@
 		return r.Ratio
 	}
 	if s.PrefersAvailability() {
-		r.MaxRedirects, r.RedirectBackoff, r.RepeatHedges = maxRedirects, fullTargetsPause, true
+		r.MaxRedirects, r.RedirectBackoff = maxRedirects, fullTargetsPause
 		r.Busy = func(service string) bool { return pi.OwnCentreLoad(service) >= maxHedgeLoad }
 	}
-	if s.Slack <= 0 {
-		return r
-	}
-	nodePart := func() float64 { return p.settings(s).Slack / float64(max(len(pr.Alive()), 1)) }
-	r.NodeBudget = nodePart
-	if s.PrefersAvailability() {
-		// Half of the slack may be used at one moment and the other half in the
-		// course of each window, so that both together stay within it.
-		r.NodeBudget = func() float64 { return max(nodePart()/2, 1) }
-		r.NodeRefill = func() float64 { return nodePart() / 2 / slackWindow.Seconds() }
+	if s.Slack > 0 {
+		r.NodeBudget = func() float64 { return p.settings(s).Slack / float64(max(len(pr.Alive()), 1)) }
 	}
 	return r
 }
--- a/internal/retrier/execution.go
+++ b/internal/retrier/execution.go
@@ -81,9 +81,7 @@
 				hedge.Reset(x.hedgeInterval()) // no attempt was in flight during the wait
 			}
 		case <-hedge.C:
-			if x.startHedge() {
-				hedge.Reset(x.hedgeInterval())
-			}
+			x.startHedge()
 		case <-x.ctx.Done():
 			return x.fail(x.interruptionError())
 		}
@@ -223,7 +221,6 @@
 	if x.budgeted+1 >= x.retrier.MaxAttempts || x.ctx.Err() != nil {
 		return false
 	}
-	x.retrier.refill(&x.service.budget)
 	if !x.service.budget.withdraw() {
 		x.retrier.denied.Add(1)
 		return false
@@ -254,8 +251,8 @@
 // newHedgeTimer returns a timer that fires when the first attempt has stalled.
 func (x *execution[R]) newHedgeTimer() *time.Timer { return time.NewTimer(x.hedgeInterval()) }
 
-// hedgeInterval returns after which time the latest attempt counts as stalled.
-// Without hedging it lies long after the deadline.
+// hedgeInterval returns after which time an attempt counts as stalled. Without
+// hedging it lies long after the deadline.
 func (x *execution[R]) hedgeInterval() time.Duration {
 	d, ok := x.retrier.hedgeDelay(x.latency, x.policy.ExpectedLatency)
 	if x.policy.NonIdempotent || !ok {
@@ -264,18 +261,13 @@
 	return d
 }
 
-// startHedge starts another attempt alongside those that stalled, if allowed. It
-// returns whether a further one may follow.
-func (x *execution[R]) startHedge() bool {
-	if x.policy.NonIdempotent || x.inFlight == 0 || !x.retrier.RepeatHedges && x.inFlight > 1 || x.retrier.busy(x.policy.Service) {
-		return false
-	}
-	if !x.takeTargetRetry() {
-		return x.retrier.RepeatHedges && x.targetRetries+1 < x.policy.maxTargets(x.retrier.MaxAttempts) // the budget may allow one later
+// startHedge starts a second attempt alongside one that stalled, if allowed.
+func (x *execution[R]) startHedge() {
+	if x.policy.NonIdempotent || x.inFlight != 1 || x.retrier.busy(x.policy.Service) || !x.takeTargetRetry() {
+		return
 	}
 	x.retrier.hedges.Add(1)
 	x.startAttempt()
-	return x.retrier.RepeatHedges
 }
 
 func (x *execution[R]) recordLatency(startedAt time.Time) {
--- a/internal/retrier/hold_test.go
+++ b/internal/retrier/hold_test.go
@@ -39,7 +39,7 @@
 		t.Run(row.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				r := New()
-				r.RedirectBackoff, r.InitialBudget, r.RepeatHedges = row.backoff, 5, true
+				r.RedirectBackoff, r.InitialBudget = row.backoff, 5
 				p := Policy{NonIdempotent: row.nonIdempotent, Deadline: time.Now().Add(row.deadline), ExpectedLatency: 300 * time.Millisecond}
 				if row.holdFor > 0 {
 					p.HoldUntil = time.Now().Add(row.holdFor)
@@ -58,58 +58,3 @@
 		})
 	}
 }
-
-// Guards against a request that stays with two hanging targets although the budget
-// allows a third, and against further hedges beyond the bound of targets or in fleets
-// that hedge once.
-func TestHedgesFollowOneAnother(t *testing.T) {
-	for _, row := range []struct {
-		name     string
-		repeat   bool
-		targets  int
-		code     coder.Code
-		attempts int
-	}{
-		{"answered by the second hedge", true, 0, 0, 3},
-		{"bound of targets", true, 2, coder.DeadlineAfter, 2},
-		{"hedged once", false, 0, coder.DeadlineAfter, 2},
-	} {
-		t.Run(row.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				r := New()
-				r.RepeatHedges = row.repeat
-				attempts, _, err := runRequest(t, r, Policy{ExpectedLatency: 300 * time.Millisecond, MaxTargets: row.targets}, "hang", "hang", "respond")
-				code := coder.OK
-				if err != nil {
-					code = coder.Of(err).Code
-				}
-				qt.Check(t, code, qt.Equals, row.code)
-				qt.Check(t, attempts, qt.Equals, row.attempts)
-			})
-		})
-	}
-}
-
-// Guards against a budget that never recovers by time, that grows beyond its bound,
-// and against time that counts twice.
-func TestBudgetRefillsByTime(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		r := New()
-		r.Ratio = 0
-		r.NodeBudget = func() float64 { return 3 }
-		r.NodeRefill = func() float64 { return 0.5 }
-		extra := func(requests int) (n int) {
-			for range requests {
-				attempts, _, _ := runRequest(t, r, Policy{}, "cut", "respond")
-				n += attempts - 1
-			}
-			return n
-		}
-		start := time.Now()
-		n := extra(60) // some of them wait for their answers, which refills the budget
-		qt.Check(t, n >= 3 && float64(n) <= 3+0.5*time.Since(start).Seconds(), qt.IsTrue, qt.Commentf("%d", n))
-		time.Sleep(2*time.Minute - time.Millisecond)
-		_ = extra(1)
-		qt.Check(t, r.Budget(), qt.Equals, 2.0)
-	})
-}
--- a/internal/retrier/retrier.go
+++ b/internal/retrier/retrier.go
@@ -100,9 +100,6 @@
 	// service has over the whole fleet. It replaces MaxBudget and, where it is
 	// lower, InitialBudget.
 	NodeBudget func() float64
-	// NodeRefill, unless nil, returns how many extra attempts per second this node
-	// may make for a service beyond what its requests allow.
-	NodeRefill func() float64
 	// MaxAttempts bounds the attempts of a request without redirects.
 	// MaxRedirects bounds the attempts that follow one that reached no target.
 	MaxAttempts, MaxRedirects int
@@ -112,9 +109,6 @@
 	HedgeQuantile   float64
 	HedgeMinSamples int
 	MinHedgeDelay   time.Duration
-	// RepeatHedges allows a further hedge each time that the latest attempt has
-	// stalled too. Otherwise a request is hedged once.
-	RepeatHedges bool
 	// HistogramPeriod is half of the time that latencies are kept for.
 	HistogramPeriod time.Duration
 	// Backoff is the mean pause before the second retry. It doubles with each
@@ -193,7 +187,6 @@
 		latency: r.service(p.Service).latency(p.Route),
 		results: make(chan result[R], r.MaxAttempts+r.MaxRedirects+1),
 	}
-	r.refill(&x.service.budget)
 	x.service.budget.deposit(r.ratio(), r.maxBudget())
 	return x.run()
 }
@@ -216,13 +209,6 @@
 	return r.MaxBudget
 }
 
-// refill adds what a budget gets by time.
-func (r *Retrier) refill(b *budget) {
-	if r.NodeRefill != nil {
-		b.refill(time.Now(), r.NodeRefill(), r.maxBudget())
-	}
-}
-
 // service returns the state of a service, and creates it if necessary.
 func (r *Retrier) service(name string) *serviceState {
 	s := &r.shards[maphash.String(r.seed, name)%shardCount]
