quarantiner: the only common request of simultaneous crashes is their cause

Crashes within 20 ms counted as one, also for a request that was the only one in flight at all of them, so that a request which crashes ten targets at once was let through twice more. Each of these crashes now counts for such a request, provided that other requests were in flight at some of them. Reports in the store keep how many others there were, so that a restarted fleet comes to the same verdict. TestOnlyCommonRequestOfSimultaneousCrashesIsCause finds no quarantine before.

--- a/internal/quarantiner/report.go
+++ b/internal/quarantiner/report.go
@@ -25,6 +25,8 @@
 	Completed bool
 	// Requests are the requests that ran.
 	Requests []messenger.Fingerprint
+	// Others is how many further requests ran that the report leaves out.
+	Others int
 }
 
 // newReport returns a report of this node. The node and the time in nanoseconds
@@ -39,16 +41,29 @@
 }
 
 func crashReport(node string, c crashwatcher.Crash) Report {
-	return newReport(node, c.Time, false, c.Requests[:min(len(c.Requests), maxRequestsPerReport)]...)
+	named := c.Requests[:min(len(c.Requests), maxRequestsPerReport)]
+	r := newReport(node, c.Time, false, named...)
+	r.Others = len(c.Requests) - len(named)
+	return r
 }
 
-// only returns the report of the same event with a single request.
+// only returns the report of the same crash with a single request.
 func (r Report) only(request messenger.Fingerprint) Report {
 	r.ID ^= uint64(request)
+	r.Others += len(r.Requests) - 1
 	r.Requests = []messenger.Fingerprint{request}
 	return r
 }
 
+// original returns the ID of the report that r is made of by only, or 0. The two
+// are of one crash.
+func (r Report) original() uint64 {
+	if r.Others == 0 || len(r.Requests) != 1 {
+		return 0
+	}
+	return r.ID ^ uint64(r.Requests[0])
+}
+
 func (r Report) has(request messenger.Fingerprint) bool { return slices.Contains(r.Requests, request) }
 
 // sortByTime sorts reports by time, the same on all nodes.
--- a/internal/quarantiner/verdict.go
+++ b/internal/quarantiner/verdict.go
@@ -14,7 +14,8 @@
 	minCrashes     = 3
 	minUnexplained = 2
 	// sharedCauseTime is the time within which crashes count as one: what takes
-	// many targets at the same moment is no request.
+	// many targets at the same moment is no request. A request that was the only
+	// one in flight at all of them, among others, is their cause nevertheless.
 	sharedCauseTime = 20 * time.Millisecond
 	// firstQuarantine is how long a request stays in quarantine at first. After
 	// each trial that ends in a crash it is quarantineFactor times as long, up to
@@ -99,14 +100,21 @@
 	// milliseconds.
 	event    int64
 	requests []messenger.Fingerprint
+	// others reports whether several requests were in flight.
+	others bool
+	// hasSole is set if sole is the only request that was in flight at all crashes
+	// of the event. Each of them counts for it.
+	hasSole bool
+	sole    messenger.Fingerprint
 }
 
 // crashesByEvent returns the crashes in order of time, without the requests that
 // completed afterwards.
 func crashesByEvent(reports []Report) []crash {
-	completed := map[messenger.Fingerprint]int64{}
+	completed, known := map[messenger.Fingerprint]int64{}, map[uint64]bool{}
 	var sorted []Report
 	for _, r := range reports {
+		known[r.ID] = true
 		if !r.Completed {
 			sorted = append(sorted, r)
 			continue
@@ -115,6 +123,7 @@
 			completed[request] = max(completed[request], r.Time)
 		}
 	}
+	sorted = slices.DeleteFunc(sorted, func(r Report) bool { return known[r.original()] })
 	sortByTime(sorted)
 	var crashes []crash
 	event := int64(0)
@@ -122,7 +131,7 @@
 		if r.Time-event > sharedCauseTime.Milliseconds() {
 			event = r.Time
 		}
-		c := crash{event: event}
+		c := crash{event: event, others: len(r.Requests)+r.Others > 1}
 		for _, request := range r.Requests {
 			if completed[request] < r.Time {
 				c.requests = append(c.requests, request)
@@ -130,16 +139,45 @@
 		}
 		crashes = append(crashes, c)
 	}
+	for rest := crashes; len(rest) > 0; {
+		n := slices.IndexFunc(rest, func(c crash) bool { return c.event != rest[0].event })
+		if n < 0 {
+			n = len(rest)
+		}
+		findSole(rest[:n])
+		rest = rest[n:]
+	}
 	return crashes
 }
 
+// findSole sets hasSole and sole of the crashes of one event. Where no other
+// request was in flight at any of them, nothing tells a request that causes them
+// from one that is frequent.
+func findSole(event []crash) {
+	if len(event) == 1 || !slices.ContainsFunc(event, func(c crash) bool { return c.others }) {
+		return
+	}
+	everywhere := slices.Clone(event[0].requests)
+	for _, c := range event[1:] {
+		everywhere = slices.DeleteFunc(everywhere, func(request messenger.Fingerprint) bool { return !slices.Contains(c.requests, request) })
+	}
+	if len(everywhere) != 1 {
+		return
+	}
+	for i := range event {
+		event[i].hasSole, event[i].sole = true, everywhere[0]
+	}
+}
+
 // countEvents returns the distinct events at which each request was in flight, in
-// order.
+// order. An event counts once for each of its crashes if the request is their only
+// common one.
 func countEvents(crashes []crash) map[messenger.Fingerprint][]int64 {
 	counts := map[messenger.Fingerprint][]int64{}
 	for _, c := range crashes {
 		for _, request := range c.requests {
-			if events := counts[request]; len(events) == 0 || events[len(events)-1] != c.event {
+			events := counts[request]
+			if len(events) == 0 || events[len(events)-1] != c.event || c.hasSole && c.sole == request {
 				counts[request] = append(events, c.event)
 			}
 		}
--- a/internal/quarantiner/verdict_test.go
+++ b/internal/quarantiner/verdict_test.go
@@ -53,6 +53,27 @@
 	qt.Check(t, judge([]Report{crashAt(1, 1, 2), crashAt(2, 1)}).suspects, qt.DeepEquals, map[messenger.Fingerprint]bool{1: true})
 }
 
+// Guards against a request that crashes many targets at the same moment and counts
+// as one crash, also once a fleet has restarted with what the store holds of it.
+// Requests that a shared cause ends at many targets are not blamed.
+func TestOnlyCommonRequestOfSimultaneousCrashesIsCause(t *testing.T) {
+	const fatal = 1
+	storm := []Report{crashAt(1, fatal, 2, 3), crashAt(1.005, fatal, 4), crashAt(1.01, fatal)}
+	want := map[messenger.Fingerprint]float64{fatal: 601}
+	qt.Check(t, quarantinedBy(storm...), qt.DeepEquals, want)
+	var stored []Report
+	for _, r := range storm {
+		stored = append(stored, r.only(fatal))
+	}
+	qt.Check(t, quarantinedBy(stored...), qt.DeepEquals, want)
+	// A crash and the copy of it in the store are one.
+	qt.Check(t, quarantinedBy(append(storm[:2:2], stored[:2]...)...), qt.HasLen, 0)
+
+	qt.Check(t, quarantinedBy(append(storm, crashAt(1.015, 5))...), qt.HasLen, 0)
+	qt.Check(t, quarantinedBy(crashAt(1, fatal, 2, 3), crashAt(1.005, fatal, 2, 4), crashAt(1.01, fatal, 2)), qt.HasLen, 0)
+	qt.Check(t, quarantinedBy(crashAt(1, 2), crashAt(1.005, 3), crashAt(1.01, 4)), qt.HasLen, 0)
+}
+
 // A crash after the end of a quarantine is a failed trial and makes the next one
 // longer, up to a bound.
 func TestQuarantineGrowsWithFailedTrials(t *testing.T) {
