quarantiner: reports keep their form

A field for the other requests of a report would have made the reports in the store unreadable after an upgrade: arrays of another length are rejected. A single request that is named twice now stands for one that ran beside others. TestOnlyCommonRequestOfSimultaneousCrashesIsCause covers the stored reports.

--- a/internal/quarantiner/report.go
+++ b/internal/quarantiner/report.go
@@ -23,10 +23,9 @@
 	Time int64
 	// Completed means that the target responded and did not crash.
 	Completed bool
-	// Requests are the requests that ran.
+	// Requests are the requests that ran. A single request that is named twice ran
+	// beside others, which the report leaves out.
 	Requests []messenger.Fingerprint
-	// Others is how many further requests ran that the report leaves out.
-	Others int
 }
 
 // newReport returns a report of this node. The node and the time in nanoseconds
@@ -41,24 +40,22 @@
 }
 
 func crashReport(node string, c crashwatcher.Crash) Report {
-	named := c.Requests[:min(len(c.Requests), maxRequestsPerReport)]
-	r := newReport(node, c.Time, false, named...)
-	r.Others = len(c.Requests) - len(named)
-	return r
+	return newReport(node, c.Time, false, c.Requests[:min(len(c.Requests), maxRequestsPerReport)]...)
 }
 
 // only returns the report of the same crash with a single request.
 func (r Report) only(request messenger.Fingerprint) Report {
 	r.ID ^= uint64(request)
-	r.Others += len(r.Requests) - 1
-	r.Requests = []messenger.Fingerprint{request}
+	if len(r.Requests) > 1 {
+		r.Requests = []messenger.Fingerprint{request, request}
+	}
 	return r
 }
 
-// original returns the ID of the report that r is made of by only, or 0. The two
-// are of one crash.
+// original returns the ID of the report that r is made of by only, or 0 if that
+// named no others. The two are of one crash.
 func (r Report) original() uint64 {
-	if r.Others == 0 || len(r.Requests) != 1 {
+	if len(r.Requests) != 2 || r.Requests[0] != r.Requests[1] {
 		return 0
 	}
 	return r.ID ^ uint64(r.Requests[0])
--- a/internal/quarantiner/verdict.go
+++ b/internal/quarantiner/verdict.go
@@ -131,9 +131,9 @@
 		if r.Time-event > sharedCauseTime.Milliseconds() {
 			event = r.Time
 		}
-		c := crash{event: event, others: len(r.Requests)+r.Others > 1}
+		c := crash{event: event, others: len(r.Requests) > 1}
 		for _, request := range r.Requests {
-			if completed[request] < r.Time {
+			if completed[request] < r.Time && !slices.Contains(c.requests, request) {
 				c.requests = append(c.requests, request)
 			}
 		}
