configurer: orders for data centres come into force after any number of changes

The number of a declaration has 19 bits for the store's revision since it was written. After 524,287 changes all orders had the same number, and nodes ignored each but the first. What the revision has beyond the bits is now carried beside the number, as its overflow, and orders configurations whose numbers are the same. Heartbeats have it as a further extra number, which earlier processes ignore.

TestOrdersComeIntoForceAfterManyChanges: without the overflow the orders given after 600,000 changes and more come into force on none of three nodes.

--- a/internal/configurer/configurer.go
+++ b/internal/configurer/configurer.go
@@ -68,6 +68,9 @@
 	// AnnounceNumber announces the number in force to other nodes. It must not
 	// block.
 	AnnounceNumber func(number uint64)
+	// AnnounceOverflow is called after AnnounceNumber if the number in force has an
+	// overflow. It must not block, and may be nil.
+	AnnounceOverflow func(number, overflow uint64)
 	// Watching reports whether this node is one of the few that watch the head
 	// in the store. With nil it does not watch, but may read from the store like
 	// those that do.
@@ -95,14 +98,15 @@
 	index atomic.Pointer[indexer.Index]
 
 	mu sync.Mutex
-	// head and manifest are in force; parts holds their blobs and those of the
-	// previous configuration.
+	// head and manifest are in force, overflow comes after the number of head;
+	// parts holds their blobs and those of the previous configuration.
 	head     Head
+	overflow uint64
 	manifest *manifest
 	parts    map[Hash]cachedBlob
-	// highestKnown is the highest number seen in the store, on a node or in a
+	// highestKnown is the highest position seen in the store, on a node or in a
 	// heartbeat.
-	highestKnown uint64
+	highestKnown position
 	// storeHead is the highest head that Confirm read from the store and that was
 	// not in force then.
 	storeHead Head
@@ -138,14 +142,27 @@
 	return c.head
 }
 
+// position returns the position in force. The caller holds the lock.
+func (c *Configurer) position() position { return position{c.head.Number, c.overflow} }
+
+// raiseKnown raises the highest known position. The caller holds the lock.
+func (c *Configurer) raiseKnown(known position) {
+	if known.after(c.highestKnown) {
+		c.highestKnown = known
+	}
+}
+
 // NoteNumber records a number that another node knows and wakes Run if it is
 // higher than those known so far.
-func (c *Configurer) NoteNumber(number uint64) {
+func (c *Configurer) NoteNumber(number uint64) { c.NoteOverflow(number, 0) }
+
+// NoteOverflow is like NoteNumber, for a number with an overflow.
+func (c *Configurer) NoteOverflow(number, overflow uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.init()
-	if number > c.highestKnown && c.mayFollow(number) {
-		c.highestKnown = number
+	if known := (position{number, overflow}); known.after(c.highestKnown) && c.mayFollow(number) {
+		c.highestKnown = known
 		c.wakeRun()
 	}
 }
@@ -176,7 +193,7 @@
 		if h.Number > c.storeHead.Number {
 			c.storeHead = h
 		}
-		c.highestKnown = max(c.highestKnown, h.Number)
+		c.raiseKnown(position{h.Number, 0})
 		c.wakeRun()
 	case h != c.head && !c.restoring:
 		c.restoring = true
@@ -213,7 +230,7 @@
 func (c *Configurer) Handle(_ context.Context, _ string, q *Query) (*Reply, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	r := &Reply{Head: c.head}
+	r := &Reply{Head: c.head, Overflow: c.overflow}
 	size := 0
 	for _, h := range q.Parts {
 		b := c.parts[h].data
@@ -269,14 +286,15 @@
 func (c *Configurer) behind() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.head.Number == 0 || c.highestKnown > c.head.Number
+	return c.head.Number == 0 || c.highestKnown.after(c.position())
 }
 
 // install puts a complete configuration in force and reports true, unless one
-// with the same or a higher number is in force.
-func (c *Configurer) install(h Head, manifestData []byte, m *manifest, fetched map[Hash]cachedBlob) bool {
+// at the same or a higher position is in force.
+func (c *Configurer) install(h Head, overflow uint64, manifestData []byte, m *manifest, fetched map[Hash]cachedBlob) bool {
 	c.mu.Lock()
-	if h.Number <= c.head.Number {
+	next := position{h.Number, overflow}
+	if !next.after(c.position()) {
 		c.mu.Unlock()
 		return false
 	}
@@ -294,13 +312,17 @@
 			parts[old] = cachedBlob{data: c.parts[old].data} // for nodes still fetching the previous configuration
 		}
 	}
-	c.head, c.manifest, c.parts, c.highestKnown = h, m, parts, max(c.highestKnown, h.Number)
+	c.head, c.overflow, c.manifest, c.parts = h, overflow, m, parts
+	c.raiseKnown(next)
 	c.index.Store(index)
 	c.mu.Unlock()
-	c.Tracer.Add(tracer.Event{Kind: "configuration", Detail: c.describe(h)})
+	c.Tracer.Add(tracer.Event{Kind: "configuration", Detail: c.describe(h, overflow)})
 	if c.AnnounceNumber != nil {
 		c.AnnounceNumber(h.Number)
 	}
+	if c.AnnounceOverflow != nil && overflow > 0 {
+		c.AnnounceOverflow(h.Number, overflow)
+	}
 	if c.OnChange != nil {
 		c.OnChange(index)
 	}
--- a/internal/configurer/configurer_test.go
+++ b/internal/configurer/configurer_test.go
@@ -206,8 +206,8 @@
 	conf.SendQuery = func(context.Context, string, *Query) (*Reply, error) {
 		return &Reply{Head: h, Parts: [][]byte{encode(&manifest{})}}, nil
 	}
-	c.Check(conf.fetchAndInstall(t.Context(), h, "faulty", false), qt.IsFalse)
-	c.Check(conf.fetchAndInstall(t.Context(), h, "faulty", true), qt.IsTrue)
+	c.Check(conf.fetchAndInstall(t.Context(), peerHead{Head: h, node: "faulty"}, false), qt.IsFalse)
+	c.Check(conf.fetchAndInstall(t.Context(), peerHead{Head: h, node: "faulty"}, true), qt.IsTrue)
 }
 
 // TestNodeReplacementsDuringLongStoreOutage keeps the store down for 20 minutes,
--- a/internal/configurer/fetch.go
+++ b/internal/configurer/fetch.go
@@ -11,9 +11,9 @@
 )
 
 // describe describes a head in events.
-func (c *Configurer) describe(h Head) string {
+func (c *Configurer) describe(h Head, overflow uint64) string {
 	if c.DeclarationSource != nil {
-		return fmt.Sprintf("%v, change %q", decodeSourceNumber(h.Number), h.Identity)
+		return fmt.Sprintf("%v, change %q", position{h.Number, overflow}, h.Identity)
 	}
 	return describe(h)
 }
@@ -28,19 +28,18 @@
 // did.
 func (c *Configurer) catchUp(ctx context.Context, behindSince time.Time) bool {
 	c.mu.Lock()
-	storeHead, number := c.storeHead, c.head.Number
+	storeHead, inForce := c.storeHead, c.position()
 	c.mu.Unlock()
-	if storeHead.Number > number && c.isWatcher() && c.mayReadStore() && c.fetchAndInstall(ctx, storeHead, "", true) {
+	if storeHead.Number > inForce.number && c.isWatcher() && c.mayReadStore() && c.fetchAndInstall(ctx, peerHead{Head: storeHead}, true) {
 		return true
 	}
-	h, node := c.queryHeads(ctx)
-	if h.Number > number && c.fetchAndInstall(ctx, h, node, false) {
+	if h := c.queryHeads(ctx); h.position().after(inForce) && c.fetchAndInstall(ctx, h, false) {
 		return true
 	}
 	if c.DeclarationSource != nil || time.Since(behindSince) < storeFallbackDelay || !c.drawsFallback() || !c.mayReadStore() {
 		return false
 	}
-	return c.installFromStore(ctx, number)
+	return c.installFromStore(ctx, inForce.number)
 }
 
 // drawsFallback reports, at random, whether this node reads from the store in this
@@ -68,7 +67,7 @@
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	h, _, err := readHead(ctx, c.Store)
-	return err == nil && h.Number > number && c.fetchAndInstall(ctx, h, "", true)
+	return err == nil && h.Number > number && c.fetchAndInstall(ctx, peerHead{Head: h}, true)
 }
 
 // randomPeers returns up to n random peers, near ones first. One in n, at least,
@@ -101,11 +100,19 @@
 	return c.SendQuery(ctx, node, q)
 }
 
-// queryHeads queries some nodes and returns the highest head and a node that has
-// it. Every head was accepted by the store, so the highest is the latest. A node
+// peerHead is a head that a node has, which is empty for the store.
+type peerHead struct {
+	Head
+	overflow uint64
+	node     string
+}
+
+func (h peerHead) position() position { return position{h.Number, h.overflow} }
+
+// queryHeads queries some nodes and returns the highest head of them. Every head was accepted by the store, so the highest is the latest. A node
 // without a configuration needs several replies, as a single one may be
 // outdated.
-func (c *Configurer) queryHeads(ctx context.Context) (best Head, node string) {
+func (c *Configurer) queryHeads(ctx context.Context) (best peerHead) {
 	n, minReplies := peersPerRound, 1
 	if c.Number() == 0 {
 		n, minReplies = bootPeersPerRound, min(minBootReplies, len(c.Peers()))
@@ -122,33 +129,33 @@
 			mu.Lock()
 			defer mu.Unlock()
 			replies++
-			if r.Head.Number > best.Number {
-				best, node = r.Head, name
+			if h := (peerHead{r.Head, r.Overflow, name}); h.position().after(best.position()) {
+				best = h
 			}
 		})
 	}
 	wg.Wait()
-	if replies < minReplies && best.Number < c.expectedNumber() {
-		return Head{}, ""
+	if replies < minReplies && c.expectedPosition().after(best.position()) {
+		return peerHead{}
 	}
-	return best, node
+	return best
 }
 
-// expectedNumber returns the highest known number, or the maximum when none is
+// expectedPosition returns the highest known position, or the maximum when none is
 // known.
-func (c *Configurer) expectedNumber() uint64 {
+func (c *Configurer) expectedPosition() position {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.highestKnown == 0 {
-		return ^uint64(0)
+	if c.highestKnown == (position{}) {
+		return position{number: ^uint64(0)}
 	}
 	return c.highestKnown
 }
 
 // fetchAndInstall fetches the manifest and missing parts of a head and puts them
-// in force. node, if not empty, has the head and is queried first.
-func (c *Configurer) fetchAndInstall(ctx context.Context, h Head, node string, allowStore bool) bool {
-	f := &partFetcher{c: c, node: node, allowStore: allowStore, fetched: map[Hash]cachedBlob{}}
+// in force. The node that has the head is queried first.
+func (c *Configurer) fetchAndInstall(ctx context.Context, h peerHead, allowStore bool) bool {
+	f := &partFetcher{c: c, node: h.node, allowStore: allowStore, fetched: map[Hash]cachedBlob{}}
 	f.useOwn(h.Manifest)
 	if err := f.fetch(ctx, []Hash{h.Manifest}, false); err != nil {
 		return false
@@ -161,7 +168,7 @@
 	if err := f.fetch(ctx, c.missingParts(m), true); err != nil {
 		return false
 	}
-	return c.install(h, manifestData, m, f.fetched)
+	return c.install(h.Head, h.overflow, manifestData, m, f.fetched)
 }
 
 // missingParts returns the parts of a manifest that this node does not have.
--- a/internal/configurer/measure_test.go
+++ b/internal/configurer/measure_test.go
@@ -119,7 +119,7 @@
 	h, err := StoredHead(t.Context(), store)
 	c.Assert(err, qt.IsNil)
 	began := time.Now()
-	c.Assert(conf.fetchAndInstall(t.Context(), h, "", true), qt.IsTrue)
+	c.Assert(conf.fetchAndInstall(t.Context(), peerHead{Head: h}, true), qt.IsTrue)
 	t.Logf("first configuration installed in %v, %.1f MB retained", time.Since(began).Round(time.Millisecond), float64(heapBytes()-before)/1e6)
 
 	changed := f.WithWorkspace(f.Workspaces[77].WithKey("second", "another"))
@@ -136,7 +136,7 @@
 		sent += len(b)
 	}
 	began = time.Now()
-	c.Assert(conf.fetchAndInstall(t.Context(), h, "", true), qt.IsTrue)
+	c.Assert(conf.fetchAndInstall(t.Context(), peerHead{Head: h}, true), qt.IsTrue)
 	t.Logf("a change of one workspace: %d bytes to each node, installed in %v, %.1f MB retained", sent, time.Since(began).Round(time.Millisecond), float64(heapBytes()-before)/1e6)
 	runtime.KeepAlive(conf)
 	runtime.KeepAlive(f)
--- a/internal/configurer/message.go
+++ b/internal/configurer/message.go
@@ -15,6 +15,8 @@
 
 	// Head is the head in force on the node. Its number is 0 when there is none.
 	Head Head
+	// Overflow comes after the head's number in the order of configurations.
+	Overflow uint64
 	// Parts are the encoded parts that the node has, as many as fit
 	// maxReplyBytes. The receiver matches them by hash.
 	Parts [][]byte
--- a/internal/configurer/number.go
+++ b/internal/configurer/number.go
@@ -7,7 +7,8 @@
 // the era of the source; the trust in the orders for data centres; whether the
 // source holds that version; and the revision since the declaration was written.
 // So an older declaration never replaces a later one, whatever a restored source
-// says, and revisions are compared within an era only.
+// says, and revisions are compared within an era only. What the revision has
+// beyond its bits is its overflow, which comes after the number (see position).
 const (
 	eraBits      = 10
 	trustBits    = 2
@@ -58,7 +59,27 @@
 		stored<<storedShift | min(n.revision, 1<<revisionBits-1)
 }
 
-// decodeSourceNumber decodes a number. The era is the lower part of the one that
+// overflow returns by how much the revision is above what the number holds.
+func (n sourceNumber) overflow() uint64 { return n.revision - min(n.revision, 1<<revisionBits-1) }
+
+// position orders configurations: by number, and where that is the same by
+// overflow. A store that is changed often has more revisions than the number has
+// bits for, within a day or less, and an order for a data centre must come into
+// force nevertheless. The overflow of configurations from the store is 0.
+type position struct{ number, overflow uint64 }
+
+func (p position) after(q position) bool {
+	return p.number > q.number || p.number == q.number && p.overflow > q.overflow
+}
+
+// String describes the position of a source's declaration in events.
+func (p position) String() string {
+	n := decodeSourceNumber(p.number)
+	n.revision += p.overflow
+	return n.String()
+}
+
+// decodeSourceNumber decodes a number without its overflow. The era is the lower part of the one that
 // was encoded.
 func decodeSourceNumber(number uint64) sourceNumber {
 	return sourceNumber{
--- a/internal/configurer/source.go
+++ b/internal/configurer/source.go
@@ -103,20 +103,23 @@
 	return tracer.Event{Kind: "source-back", Detail: fmt.Sprintf("%v is in force", inForce)}
 }
 
-// declaration is a declaration to install, with its number and the identity of
+// declaration is a declaration to install, with its position and the identity of
 // its last change.
 type declaration struct {
-	Fleet    declarer.Fleet
-	Number   uint64
-	Identity string
+	Fleet            declarer.Fleet
+	Number, Overflow uint64
+	Identity         string
 }
 
 // installDeclared splits a declaration into parts, which other nodes can fetch,
 // and puts it in force unless that changes nothing.
 func (c *Configurer) installDeclared(d declaration) error {
-	if inForce := c.Number(); d.Number <= inForce {
-		if d.Number < inForce {
-			c.Tracer.Add(tracer.Event{Kind: "configuration-ignored", Detail: fmt.Sprintf("%v, in force is %v", decodeSourceNumber(d.Number), decodeSourceNumber(inForce))})
+	c.mu.Lock()
+	inForce := c.position()
+	c.mu.Unlock()
+	if declared := (position{d.Number, d.Overflow}); !declared.after(inForce) {
+		if inForce.after(declared) {
+			c.Tracer.Add(tracer.Event{Kind: "configuration-ignored", Detail: fmt.Sprintf("%v, in force is %v", declared, inForce)})
 		}
 		return nil
 	}
@@ -137,7 +140,7 @@
 			return err
 		}
 	}
-	c.install(h, manifestData, m, fetched)
+	c.install(h, d.Overflow, manifestData, m, fetched)
 	return nil
 }
 
--- a/internal/configurer/source_test.go
+++ b/internal/configurer/source_test.go
@@ -32,6 +32,16 @@
 	fs.observed = Observation{Fleet: fleetOf(keys...), Version: version, Revision: version, DeclaredAt: version, Identity: "change"}
 }
 
+// order orders the data centre to be emptied, or takes that back, after a number of
+// changes of other keys.
+func (fs *fakeSource) order(changes uint64, out bool) {
+	fs.mu.Lock()
+	defer fs.mu.Unlock()
+	fs.observed.Revision = fs.observed.DeclaredAt + changes
+	fs.observed.Fleet.Centres = slices.Clone(fs.observed.Fleet.Centres)
+	fs.observed.Fleet.Centres[0].Out = out
+}
+
 // source returns the source of one node.
 func (fs *fakeSource) source(name string) func(context.Context) (*Observation, error) {
 	var seen uint64
@@ -43,8 +53,8 @@
 			switch {
 			case rejected:
 				return nil, errors.New("rejected by the fake source")
-			case observed.Version != seen:
-				seen = observed.Version
+			case observed.Revision != seen:
+				seen = observed.Revision
 				return &observed, nil
 			}
 			select {
@@ -59,6 +69,37 @@
 // versionInForce returns the version of the source that is in force on a node.
 func versionInForce(c *Configurer) uint64 { return decodeSourceNumber(c.Number()).version }
 
+// startFollowers starts nodes that follow a source and tell each other what is in
+// force.
+func startFollowers(ctx context.Context, source *fakeSource, names []string) map[string]*Configurer {
+	nodes := map[string]*Configurer{}
+	for _, name := range names {
+		nodes[name] = &Configurer{
+			DeclarationSource: source.source(name),
+			Peers: func() []string {
+				return slices.DeleteFunc(slices.Clone(names), func(n string) bool { return n == name })
+			},
+			SendQuery: func(ctx context.Context, node string, q *Query) (*Reply, error) {
+				return nodes[node].Handle(ctx, name, q)
+			},
+			AnnounceNumber: func(number uint64) {
+				for _, other := range names {
+					go nodes[other].NoteNumber(number)
+				}
+			},
+			AnnounceOverflow: func(number, overflow uint64) {
+				for _, other := range names {
+					go nodes[other].NoteOverflow(number, overflow)
+				}
+			},
+		}
+	}
+	for _, n := range nodes {
+		go func() { _ = n.Run(ctx) }()
+	}
+	return nodes
+}
+
 // TestAllNodesFollowSource checks that a change is in force within two seconds on
 // all nodes, also on those that the source rejects, and that no node goes back to
 // a lower number when the source does.
@@ -71,26 +112,7 @@
 		}()
 		source := &fakeSource{rejected: map[string]bool{"b": true, "c": true}}
 		names := []string{"a", "b", "c"}
-		nodes := map[string]*Configurer{}
-		for _, name := range names {
-			nodes[name] = &Configurer{
-				DeclarationSource: source.source(name),
-				Peers: func() []string {
-					return slices.DeleteFunc(slices.Clone(names), func(n string) bool { return n == name })
-				},
-				SendQuery: func(ctx context.Context, node string, q *Query) (*Reply, error) {
-					return nodes[node].Handle(ctx, name, q)
-				},
-				AnnounceNumber: func(number uint64) {
-					for _, other := range names {
-						go nodes[other].NoteNumber(number)
-					}
-				},
-			}
-		}
-		for _, n := range nodes {
-			go func() { _ = n.Run(ctx) }()
-		}
+		nodes := startFollowers(ctx, source, names)
 		source.declare(7, "first")
 		time.Sleep(2 * time.Second)
 		source.declare(12, "second")
@@ -108,6 +130,33 @@
 	})
 }
 
+// Guards against orders for data centres that are ignored once the store has made
+// more changes since the declaration than its number has bits for: they must be in
+// force, and taken back, on all nodes, also on one that the source rejects.
+func TestOrdersComeIntoForceAfterManyChanges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer func() {
+			cancel()
+			time.Sleep(time.Minute)
+		}()
+		source := &fakeSource{rejected: map[string]bool{"c": true}}
+		names := []string{"a", "b", "c"}
+		nodes := startFollowers(ctx, source, names)
+		source.declare(1, "key")
+		for _, changes := range []uint64{1000, 1<<revisionBits - 2, 600_000, 700_000, 1 << 40} {
+			for _, out := range []bool{true, false} {
+				changes++
+				source.order(changes, out)
+				time.Sleep(2 * time.Second)
+				for _, name := range names {
+					qt.Check(t, isOut(nodes[name].Index().Fleet().Centres, "jos-a"), qt.Equals, out, qt.Commentf("%s after %d changes", name, changes))
+				}
+			}
+		}
+	})
+}
+
 // TestFewNodesReadSource runs a fleet of which a few nodes read the source, while
 // that rejects a third of all nodes. A change must be in force everywhere within
 // three seconds, and the calls must not grow with the fleet.
--- a/internal/configurer/sourcereader.go
+++ b/internal/configurer/sourcereader.go
@@ -96,7 +96,7 @@
 		d.Fleet.Centres = o.Fleet.Centres
 	}
 	d.Fleet.Centres = r.keepOrders(d.Fleet.Centres)
-	d.Number = n.encode()
+	d.Number, d.Overflow = n.encode(), n.overflow()
 	return r.c.installDeclared(d)
 }
 
--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -58,8 +58,9 @@
 func newConfigurer(s settingsloader.Settings, p Platform, pr *prober.Prober, t *tracer.Tracer) *configurer.Configurer {
 	return &configurer.Configurer{
 		Store: p.Store, DeclarationSource: p.DeclarationSource, Watching: pr.IsWatcher, ExpectPeers: len(seedAddresses(s)) > 0, Tracer: t,
-		AnnounceNumber: func(number uint64) { pr.RaiseNumber(prober.ConfigNumber, number) },
-		SourceReader:   pr.IsSourceReader,
+		AnnounceNumber:   func(number uint64) { pr.RaiseNumber(prober.ConfigNumber, number) },
+		AnnounceOverflow: pr.RaiseOverflow,
+		SourceReader:     pr.IsSourceReader,
 		NearPeers: func() []string {
 			return slices.DeleteFunc(slices.Clone(pr.AliveByCentre()[s.Centre]), func(name string) bool { return name == s.Name })
 		},
@@ -101,6 +102,7 @@
 			c.noteEra(number)
 		}
 	}
+	c.Prober.OnOverflow = c.Configurer.NoteOverflow
 	if eras := c.Platform.Store.Eras; eras != nil {
 		eras.OnAdvance = func(_, era uint64) { c.Prober.RaiseNumber(prober.EraNumber, era) }
 	}
--- a/internal/prober/packet.go
+++ b/internal/prober/packet.go
@@ -88,8 +88,8 @@
 	// Updates holds encoded updates.
 	Updates []msgpack.RawMessage
 	// Extra holds further numbers, whose meaning depends on Kind: in a bucketRequest
-	// the digests of the sender's member list, else the era of the store if it is
-	// known. The number of fields is fixed, as processes of other versions reject
+	// the digests of the sender's member list, else the era of the store and the
+	// overflow of the configuration's number, without trailing zeros. The number of fields is fixed, as processes of other versions reject
 	// packets with more or fewer.
 	Extra []uint64
 }
@@ -97,7 +97,12 @@
 // setNumbers sets the numbers that the sender knows.
 func (q *packet) setNumbers(n Numbers) {
 	copy(q.Numbers[:], n[:])
-	if era := n[EraNumber]; era != 0 && q.Kind != bucketRequest {
+	era, overflow := n[EraNumber], n[ConfigOverflow]
+	switch {
+	case q.Kind == bucketRequest:
+	case overflow != 0:
+		q.Extra = []uint64{era, overflow}
+	case era != 0:
 		q.Extra = []uint64{era}
 	}
 }
@@ -108,6 +113,9 @@
 	if q.Kind != bucketRequest && len(q.Extra) > 0 {
 		n[EraNumber] = q.Extra[0]
 	}
+	if q.Kind != bucketRequest && len(q.Extra) > 1 {
+		n[ConfigOverflow] = q.Extra[1]
+	}
 	return n
 }
 
--- a/internal/prober/prober.go
+++ b/internal/prober/prober.go
@@ -117,6 +117,9 @@
 	// OnNumber is called, like OnChange, when a higher number of a kind becomes
 	// known.
 	OnNumber func(Kind, uint64)
+	// OnOverflow is called like OnNumber when a higher overflow of a configuration's
+	// number becomes known. It may be nil.
+	OnOverflow func(number, overflow uint64)
 
 	counts struct {
 		sent, received, sentBytes, receivedBytes, crossingBytes, rejected, suspicions atomic.Uint64
@@ -247,7 +250,10 @@
 		}
 	}
 	for _, r := range raised {
-		if p.OnNumber != nil {
+		switch {
+		case r.kind == ConfigOverflow && p.OnOverflow != nil:
+			p.OnOverflow(r.number, r.overflow)
+		case r.kind != ConfigOverflow && p.OnNumber != nil:
 			p.OnNumber(r.kind, r.number)
 		}
 	}
--- a/internal/prober/stamp.go
+++ b/internal/prober/stamp.go
@@ -21,8 +21,11 @@
 	// EraNumber is the era of the store, which rises each time that the store is
 	// restored from an older copy.
 	EraNumber
+	// ConfigOverflow comes after ConfigNumber in the order of configurations: it
+	// rises while that stays the same, and starts anew when that rises.
+	ConfigOverflow
 
-	kindCount = 3
+	kindCount = 4
 	// stampedKinds is how many of the kinds the store confirms with stamps.
 	stampedKinds = 2
 )
@@ -112,9 +115,11 @@
 	raised        []raisedNumber
 }
 
+// raisedNumber is a number that was raised. Its overflow is that of a ConfigNumber
+// whose ConfigOverflow was raised.
 type raisedNumber struct {
-	kind   Kind
-	number uint64
+	kind             Kind
+	number, overflow uint64
 }
 
 // censusRound is a census in progress.
@@ -145,16 +150,27 @@
 }
 
 // raiseNumbers raises the known numbers to those in n that are higher and reports
-// whether there were any.
+// whether there were any. The overflow in n belongs to the configuration in n.
 func (s *stampState) raiseNumbers(n Numbers) bool {
 	raised := false
 	for k := range n {
+		if Kind(k) == ConfigOverflow {
+			continue
+		}
 		if n[k] > s.numbers[k] {
 			s.numbers[k] = n[k]
-			s.raised = append(s.raised, raisedNumber{Kind(k), n[k]})
+			if Kind(k) == ConfigNumber {
+				s.numbers[ConfigOverflow] = 0
+			}
+			s.raised = append(s.raised, raisedNumber{kind: Kind(k), number: n[k]})
 			raised = true
 		}
 	}
+	if overflow := n[ConfigOverflow]; n[ConfigNumber] == s.numbers[ConfigNumber] && overflow > s.numbers[ConfigOverflow] {
+		s.numbers[ConfigOverflow] = overflow
+		s.raised = append(s.raised, raisedNumber{ConfigOverflow, n[ConfigNumber], overflow})
+		raised = true
+	}
 	return raised
 }
 
@@ -173,14 +189,23 @@
 // RaiseNumber raises a number to at least number and gossips it if it was lower.
 func (p *Prober) RaiseNumber(k Kind, number uint64) {
 	p.stepOutsideLoop(func(now time.Time) {
-		n := p.stamps.numbers
-		n[k] = max(n[k], number)
+		var n Numbers
+		n[k] = number
 		if p.stamps.raiseNumbers(n) {
 			p.pushNumbers(now)
 		}
 	})
 }
 
+// RaiseOverflow raises the overflow of a configuration's number like RaiseNumber.
+func (p *Prober) RaiseOverflow(number, overflow uint64) {
+	p.stepOutsideLoop(func(now time.Time) {
+		if p.stamps.raiseNumbers(Numbers{ConfigNumber: number, ConfigOverflow: overflow}) {
+			p.pushNumbers(now)
+		}
+	})
+}
+
 // mergeNumbersAndStamp merges the numbers and the stamp of a packet into the known
 // ones and pushes gossip if they changed. The caller holds the lock.
 func (p *Prober) mergeNumbersAndStamp(e *memberEntry, q *packet, now time.Time) {
--- a/internal/prober/stamp_test.go
+++ b/internal/prober/stamp_test.go
@@ -177,3 +177,16 @@
 		}
 	})
 }
+
+// An overflow belongs to its configuration's number: one of an earlier number must
+// not be taken for one of a later number, for which nodes would search in vain.
+func TestOverflowBelongsToItsNumber(t *testing.T) {
+	var s stampState
+	qt.Check(t, s.raiseNumbers(Numbers{ConfigNumber: 5, ConfigOverflow: 900}), qt.IsTrue)
+	qt.Check(t, s.raiseNumbers(Numbers{ConfigNumber: 5, ConfigOverflow: 800}), qt.IsFalse)
+	qt.Check(t, s.raiseNumbers(Numbers{ConfigNumber: 6}), qt.IsTrue)
+	qt.Check(t, s.raiseNumbers(Numbers{ConfigNumber: 5, ConfigOverflow: 901}), qt.IsFalse)
+	qt.Check(t, s.numbers, qt.Equals, Numbers{ConfigNumber: 6})
+	qt.Assert(t, s.raised, qt.HasLen, 3)
+	qt.Check(t, s.raised[1], qt.Equals, raisedNumber{ConfigOverflow, 5, 900})
+}
