--- a/internal/softlimiter/softlimiter.go
+++ b/internal/softlimiter/softlimiter.go
@@ -1,72 +1,75 @@
 // Package softlimiter keeps each workspace near its rate and burst over the
 // whole fleet without coordination: the running node with the highest hash for a
-// workspace, its granting node, grants all its tokens from memory.
+// workspace grants all its tokens, from memory.
 //
-// It is for fleets whose operators allow a bounded excess. If the granting node
-// does not answer, the nodes next in the order of hashes are asked. Such a
-// fallback passes queries on while anyone it reaches still reaches the granting
-// node, and otherwise grants in its place. A granting node that reaches fewer
-// than half of the nodes grants next to nothing, since another may have taken
-// over. Once the member list has settled after a network partition, each side
-// grants the fraction of the rate that matches its fraction of the membership.
-// Package limiter is for fleets that allow no excess.
+// It is for fleets whose operators allow a bounded excess. During a network
+// partition each side grants the fraction of the rate that matches its fraction
+// of the membership. A node that takes over granting starts with at most
+// MaxInitialTokens tokens instead of a full burst. Package limiter is for fleets
+// that allow no excess.
 package softlimiter
 
 import (
 	"context"
+	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/zinniaproxy/zinniaproxy/pkg/coder"
 )
 
 const (
-	// DefaultQueryTimeout bounds a query to another node. It allows for several
-	// round trips within a region. hedgeDelay is how long a node may take to
-	// answer before the next one is asked as well: three silent nodes in a row
-	// must cost a workspace less than a tenth of its rate in 2 s.
+	// DefaultQueryTimeout bounds a query to the granting node. It allows for
+	// several round trips within a region.
 	DefaultQueryTimeout = 200 * time.Millisecond
-	hedgeDelay          = 50 * time.Millisecond
 	// maxNodesQueried is how many nodes are queried in turn, and
 	// maxQueriesPerNode how often each of them if its link breaks.
-	maxNodesQueried   = 3
+	maxNodesQueried   = 2
 	maxQueriesPerNode = 2
+	// fallbackFraction is the fraction of the rate that a node grants in place of
+	// another that may still be granting, and suspectFraction the same if no member
+	// reaches that one, so that it grants at most to itself. fallbackKeySuffix
+	// separates that bucket from the node's own.
+	fallbackFraction  = 0.1
+	suspectFraction   = 0.75
+	fallbackKeySuffix = "\ninstead"
 	// lastResortKeySuffix separates the bucket for the last resort, and
 	// lastResortDivisor divides the part of the rate, by the number of nodes,
-	// that a node grants to itself if no queried node answers.
+	// that a node grants to itself if it reaches no granting node.
 	lastResortKeySuffix = "\nalone"
 	lastResortDivisor   = 2
+	// maxGrantOverlap is how long two nodes may both grant for a workspace that
+	// moves between them. membershipSettleTime is how long after a membership
+	// change a workspace may be moving.
+	maxGrantOverlap      = 500 * time.Millisecond
+	membershipSettleTime = 3 * time.Second
 	// maxJoinWait is how long after its start a node delays requests until it
 	// knows other members, which takes a read from the store and a round trip.
 	maxJoinWait      = time.Second
 	joinPollInterval = 10 * time.Millisecond
-	// minQueryFraction and minGrantFraction are the fractions of the membership
-	// that a node must reach before it queries others and before it grants, during
-	// maxJoinWait.
-	minQueryFraction = 0.5
-	minGrantFraction = 0.9
+	// avoidDuration is how long a node that did not answer is not queried.
+	avoidDuration = time.Second
+	// bucketIdleTimeout is how long the bucket of a workspace without requests
+	// is kept.
+	bucketIdleTimeout = time.Minute
+	// maxRetryAfter bounds the retry-after of a refused request.
+	maxRetryAfter = 5 * time.Second
 	// unlimitedRate is the rate in tokens per second at and above which a
 	// workspace is not limited.
 	unlimitedRate = 1_000_000
+	shardCount    = 16
 )
 
-// Query asks for one token of a workspace unless Probe or Claim is set.
+// Query asks for one token of a workspace.
 type Query struct {
 	_msgpack struct{} `msgpack:",as_array"`
 
 	Workspace string
-	// Fallback reports that the granting node did not answer the asking node.
+	// Fallback reports that the node which should grant did not answer.
 	Fallback bool
-	// Relayed reports that a fallback passes the query on.
-	Relayed bool
-	// Target is the node to which the receiver passes the query on, since the
-	// sender does not reach it. Empty means that the query is for the receiver.
-	Target string
-	// Probe asks only whether the receiver, or Target, answers.
-	Probe bool
-	// Claim is the name of a node that grants the workspace's tokens. The receiver
-	// stops granting and hands over its tokens.
-	Claim string
 }
 
 // Reply answers a Query.
@@ -76,16 +79,6 @@
 	Granted bool
 	// RetryAfter is when a token is expected, for a request that got none.
 	RetryAfter time.Duration
-	// Unanswered reports that the Target of the query did not answer, or that the
-	// receiver has just started and does not grant yet.
-	Unanswered bool
-	// Declined reports that the receiver of a relayed query takes the sender for
-	// the granting node, or the receiver of a claim itself.
-	Declined bool
-	// Held reports that the receiver of a claim has granted so far, Tokens is what
-	// its bucket held, and Fraction the fraction of the membership that it reaches.
-	Held             bool
-	Tokens, Fraction float64
 }
 
 // Limiter limits the request rates of workspaces. Set the exported fields
@@ -93,19 +86,22 @@
 type Limiter struct {
 	// Self is the name of this node.
 	Self string
-	// Alive returns the names of the running nodes, including this one unless it
-	// is leaving. It returns another slice when they change.
+	// Alive returns the names of the running nodes, including this one. It returns
+	// another slice when they change.
 	Alive func() []string
 	// ReachableFraction returns the fraction of the membership that this node
 	// reaches, 0 to 1.
 	ReachableFraction func() float64
+	// Suspect reports whether no member reaches a running node. Nil means that
+	// this is never known.
+	Suspect func(node string) bool
 	// Limit returns the current rate, in tokens per second, and burst of a
 	// workspace.
 	Limit func(workspace string) (rate float64, burst int, ok bool)
 	// SendQuery sends a query to another node.
 	SendQuery func(ctx context.Context, node string, q *Query) (*Reply, error)
-	// MaxInitialTokens returns the maximum number of tokens that a granting node
-	// starts with if no other hands over its tokens.
+	// MaxInitialTokens returns the maximum number of tokens that a new bucket
+	// starts with.
 	MaxInitialTokens func() float64
 	// Started is when this process started.
 	Started time.Time
@@ -118,20 +114,30 @@
 
 	shards [shardCount]shard
 	mu     sync.Mutex
-	// membership is what is known about changes of the running nodes.
-	membership membership
+	// members are the running nodes when last seen, membersDigest is a digest of
+	// them, and membersChangedAt is when that last changed.
+	members          []string
+	membersDigest    uint64
+	membersChangedAt time.Time
 	// avoidedUntil maps nodes that did not answer to the time until which they
-	// are not queried. A node is removed when it answers.
+	// are not queried.
 	avoidedUntil map[string]time.Time
-	// claimants maps workspaces to the nodes that claimed them last.
-	claimants map[string]claimant
-	// observations maps nodes in whose place this one was asked to whether they
-	// answer.
-	observations map[string]*observation
-	reach        reach
-	// lentFraction is the highest fraction of the membership that another node
-	// reached which handed over its tokens.
-	lentFraction float64
+}
+
+type shard struct {
+	mu      sync.Mutex
+	buckets map[string]*bucket
+}
+
+// bucket holds the tokens of one workspace at the node that grants them.
+type bucket struct {
+	// tokens is the token count at updatedAt, at most the burst. It starts
+	// below zero if another node may still be granting.
+	tokens    float64
+	updatedAt time.Time
+	// pendingRetries is the estimated number of refused requests that were
+	// given a retry-after and have not retried yet.
+	pendingRetries float64
 }
 
 // Take takes one token of a workspace. The error is a *coder.Error.
@@ -151,98 +157,39 @@
 	return coder.New(coder.RateExceeded, "%s", workspace).WithAfter(reply.RetryAfter)
 }
 
-// awaitMembers waits until the node knows enough members, for at most maxJoinWait
-// after its start.
+// awaitMembers waits until the node knows other members, for at most
+// maxJoinWait after its start.
 func (l *Limiter) awaitMembers(ctx context.Context) {
-	for ctx.Err() == nil && l.knowsLess(minQueryFraction) {
+	for l.Joined != nil && time.Since(l.Started) < maxJoinWait && ctx.Err() == nil && !l.Joined() {
 		time.Sleep(joinPollInterval)
 	}
 }
 
-// joining reports whether this process has just started and knows too few members
-// to tell from whom it takes over. It grants nothing then, so that a fallback goes
-// on.
-func (l *Limiter) joining() bool { return l.knowsLess(minGrantFraction) }
-
-// knowsLess reports whether this process has just started and reaches less than a
-// fraction of the membership.
-func (l *Limiter) knowsLess(fraction float64) bool {
-	return time.Since(l.Started) < maxJoinWait && (l.Joined != nil && !l.Joined() || l.ReachableFraction() < fraction)
-}
-
-// query queries the granting node of a workspace and, as long as no reply comes,
-// the next ones in rank as well.
+// query queries the node that grants a workspace's tokens, or the next one if
+// that does not answer.
 func (l *Limiter) query(ctx context.Context, workspace string) *Reply {
-	a := &attempts{l: l, results: make(chan result, maxNodesQueried)}
+	q := &Query{Workspace: workspace}
 	for range maxNodesQueried {
-		node, fallback := l.nextNode(workspace, time.Now())
-		if node == "" {
+		node, fallback := l.grantingNode(workspace, time.Now())
+		q.Fallback = fallback
+		if node == l.Self || node == "" {
 			break
 		}
-		q := &Query{Workspace: workspace, Fallback: fallback}
-		if node == l.Self {
-			return l.answer(ctx, l.Self, q)
-		}
-		if reply := a.ask(ctx, node, q); reply != nil {
+		if reply := l.queryNode(ctx, node, q); reply != nil {
 			return reply
 		}
+		l.avoid(node, time.Now())
 	}
-	if reply := a.awaitLate(); reply != nil {
-		return reply
-	}
-	part := 1 / float64(lastResortDivisor*max(len(l.Alive()), 1))
-	return l.grantPart(workspace, lastResortKeySuffix, part, time.Now())
-}
-
-// attempts is the queries of one request to several nodes.
-type attempts struct {
-	l       *Limiter
-	results chan result
-	pending int
-}
-
-// result is the reply of a node, or nil.
-type result struct {
-	node  string
-	reply *Reply
-}
-
-// ask queries a further node. It returns the first reply of any node, or nil if
-// that node fails or takes longer than hedgeDelay; it is then avoided.
-func (a *attempts) ask(ctx context.Context, node string, q *Query) *Reply {
-	a.pending++
-	go func() { a.results <- result{node, a.l.queryNode(ctx, node, q)} }()
-	timer := time.NewTimer(hedgeDelay)
-	defer timer.Stop()
-	for {
-		select {
-		case r := <-a.results:
-			a.pending--
-			switch {
-			case r.reply != nil:
-				if r.node == node {
-					a.l.noteAnswer(node)
-				}
-				return r.reply
-			case r.node == node:
-				a.l.avoid(node, time.Now())
-				return nil
-			}
-		case <-timer.C:
-			a.l.avoid(node, time.Now())
-			return nil
-		}
-	}
+	return l.grantSelf(q, time.Now())
 }
 
-// awaitLate returns the first reply to the queries that have not ended, or nil.
-func (a *attempts) awaitLate() *Reply {
-	for ; a.pending > 0; a.pending-- {
-		if r := <-a.results; r.reply != nil {
-			return r.reply
-		}
+// grantSelf grants to this node's own requests: as the granting node, or else a
+// part of the rate as small as this node's part of the fleet.
+func (l *Limiter) grantSelf(q *Query, now time.Time) *Reply {
+	if node, _ := l.grantingNode(q.Workspace, now); node == l.Self {
+		return l.grant(q, now)
 	}
-	return nil
+	return l.grantFrom(q.Workspace, lastResortKeySuffix, 1/float64(lastResortDivisor*max(len(l.Alive()), 1)), now)
 }
 
 // queryNode queries one node, and retries at once if the link broke, since a new
@@ -256,10 +203,10 @@
 	defer cancel()
 	for range maxQueriesPerNode {
 		reply, err := l.SendQuery(ctx, node, q)
-		switch {
-		case err == nil && !reply.Unanswered:
+		if err == nil {
 			return reply
-		case err == nil, ctx.Err() != nil:
+		}
+		if ctx.Err() != nil {
 			return nil
 		}
 	}
@@ -267,27 +214,158 @@
 }
 
 // Handle answers a query of another node.
-func (l *Limiter) Handle(ctx context.Context, peer string, q *Query) (*Reply, error) {
-	return l.answer(ctx, peer, q), nil
+func (l *Limiter) Handle(_ context.Context, _ string, q *Query) (*Reply, error) {
+	return l.grant(q, time.Now()), nil
 }
 
-// answer answers a query of a peer, or of this node itself.
-func (l *Limiter) answer(ctx context.Context, peer string, q *Query) *Reply {
+// grantingNode returns the running node with the highest rank for the workspace,
+// leaving out nodes that recently did not answer. Fallback reports whether the
+// first one was left out.
+func (l *Limiter) grantingNode(workspace string, now time.Time) (node string, fallback bool) {
+	names := l.Alive()
+	first := firstRanked(names, workspace)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.avoids(first, now) {
+		return first, false
+	}
+	answering := slices.DeleteFunc(slices.Clone(names), func(name string) bool { return l.avoids(name, now) })
+	return firstRanked(answering, workspace), true
+}
+
+// avoids reports whether a node did not answer recently. The caller holds the lock.
+func (l *Limiter) avoids(node string, now time.Time) bool {
+	until, ok := l.avoidedUntil[node]
+	return ok && now.Before(until)
+}
+
+// firstRanked returns the name with the highest rank for the workspace, or "".
+func firstRanked(names []string, workspace string) (first string) {
+	highest := uint64(0)
+	for _, name := range names {
+		if rank := rankOf(name, workspace); first == "" || rank > highest {
+			first, highest = name, rank
+		}
+	}
+	return first
+}
+
+// rankOf orders the nodes for a workspace. It builds no string, since it is called
+// for each running node.
+func rankOf(node, workspace string) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(node)
+	_, _ = d.WriteString("\n")
+	_, _ = d.WriteString(workspace)
+	return d.Sum64()
+}
+
+func (l *Limiter) avoid(node string, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.avoidedUntil == nil {
+		l.avoidedUntil = map[string]time.Time{}
+	}
+	for name, until := range l.avoidedUntil {
+		if now.After(until) {
+			delete(l.avoidedUntil, name)
+		}
+	}
+	l.avoidedUntil[node] = now.Add(avoidDuration)
+}
+
+// grant takes a token from this node's own bucket. As a fallback for another
+// node it grants only a fraction, since that node may still be granting.
+func (l *Limiter) grant(q *Query, now time.Time) *Reply {
 	switch {
-	case q.Target != "" && q.Target != l.Self:
-		return l.passOn(ctx, q)
-	case q.Probe:
-		return &Reply{Unanswered: l.joining()}
-	case q.Claim != "":
-		return l.handleClaim(q.Claim, q.Workspace, time.Now())
-	case l.joining():
-		return &Reply{Unanswered: true}
+	case !q.Fallback:
+		return l.grantFrom(q.Workspace, "", 1, now)
+	case l.Suspect != nil && l.Suspect(firstRanked(l.Alive(), q.Workspace)):
+		return l.grantFrom(q.Workspace, fallbackKeySuffix, suspectFraction, now)
 	}
-	switch granting := l.grantingNode(q.Workspace, time.Now()); {
-	case granting == l.Self || granting == "":
-		return l.grantOwned(ctx, q.Workspace)
-	case granting == peer && q.Relayed:
-		return &Reply{Declined: true}
+	return l.grantFrom(q.Workspace, fallbackKeySuffix, fallbackFraction, now)
+}
+
+// grantFrom takes a token from the bucket of a workspace with the suffix, which
+// has a fraction of the rate and burst.
+func (l *Limiter) grantFrom(workspace, suffix string, part float64, now time.Time) *Reply {
+	rate, burst, ok := l.Limit(workspace)
+	if !ok {
+		return &Reply{RetryAfter: time.Second}
+	}
+	fraction, maxInitial, key := l.ReachableFraction()*part, l.MaxInitialTokens(), workspace+suffix
+	if suffix != "" {
+		maxInitial = 1
 	}
-	return l.grantAsFallback(ctx, q)
+	s := &l.shards[xxhash.Sum64String(key)%shardCount]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	initial := min(maxInitial, float64(burst)*fraction)
+	if l.membershipChanging(now) {
+		initial -= rate * fraction * maxGrantOverlap.Seconds()
+	}
+	b := s.bucket(key, initial, now)
+	b.refill(now, rate*fraction, max(float64(burst)*fraction, 1))
+	if b.tokens >= 1 {
+		b.tokens--
+		return &Reply{Granted: true}
+	}
+	return &Reply{RetryAfter: b.scheduleRetry(rate * fraction)}
+}
+
+// membershipChanging reports whether the running nodes changed recently. The
+// previous granting node may then still grant to nodes that do not know of the
+// change.
+func (l *Limiter) membershipChanging(now time.Time) bool {
+	names := l.Alive()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(names) > 0 && len(names) == len(l.members) && &names[0] == &l.members[0] {
+		return now.Sub(l.membersChangedAt) < membershipSettleTime
+	}
+	l.members = names
+	digest := uint64(0)
+	for _, name := range names {
+		digest += xxhash.Sum64String(name)
+	}
+	if l.membersDigest == 0 {
+		l.membersChangedAt = l.Started
+	} else if digest != l.membersDigest {
+		l.membersChangedAt = now
+	}
+	l.membersDigest = digest
+	return now.Sub(l.membersChangedAt) < membershipSettleTime
+}
+
+func (s *shard) bucket(key string, initial float64, now time.Time) *bucket {
+	if b := s.buckets[key]; b != nil {
+		return b
+	}
+	if s.buckets == nil {
+		s.buckets = map[string]*bucket{}
+	}
+	for idle, b := range s.buckets {
+		if now.Sub(b.updatedAt) > bucketIdleTimeout {
+			delete(s.buckets, idle)
+		}
+	}
+	b := &bucket{tokens: initial, updatedAt: now}
+	s.buckets[key] = b
+	return b
+}
+
+func (b *bucket) refill(now time.Time, rate, burst float64) {
+	added := max(now.Sub(b.updatedAt).Seconds(), 0) * rate
+	b.tokens = min(b.tokens+added, burst)
+	b.pendingRetries = max(b.pendingRetries-added, 0)
+	b.updatedAt = now
+}
+
+// scheduleRetry returns the retry-after of a refused request. Each one is
+// queued after those refused before, so that they do not all retry at once.
+func (b *bucket) scheduleRetry(rate float64) time.Duration {
+	b.pendingRetries++
+	seconds := (b.pendingRetries + 1 - b.tokens) / max(rate, 1e-3) * (0.9 + 0.2*rand.Float64())
+	return min(time.Duration(seconds*float64(time.Second)), maxRetryAfter)
 }
--- a/internal/softlimiter/softlimiter_test.go
+++ b/internal/softlimiter/softlimiter_test.go
@@ -94,7 +94,7 @@
 					<-ctx.Done()
 					return nil, ctx.Err()
 				}
-				return c.nodeAt(j).Handle(ctx, nodeName(i), q)
+				return c.nodeAt(j).Handle(ctx, "", q)
 			}
 			return nil, errors.New("no such node")
 		},
