quarantiner: four crashes at once are caused by the only request that ran

From four such crashes on each counts. Fewer count as one as before: TestSharedCausesAndCompletionsAreNoCrashes asks for that.

--- a/internal/quarantiner/verdict.go
+++ b/internal/quarantiner/verdict.go
@@ -13,9 +13,13 @@
 	// how many of them no other request in quarantine must have been at.
 	minCrashes     = 3
 	minUnexplained = 2
+	// minCrashesAlone is how many crashes at one moment count one by one for their
+	// only common request if no other request was in flight at any of them. Then
+	// little tells a request that causes them from one that is frequent.
+	minCrashesAlone = 4
 	// sharedCauseTime is the time within which crashes count as one: what takes
-	// many targets at the same moment is no request. A request that was the only
-	// one in flight at all of them, among others, is their cause nevertheless.
+	// many targets at the same moment is no request. For a request that was the
+	// only one in flight at all of them each crash counts nevertheless.
 	sharedCauseTime = 20 * time.Millisecond
 	// firstQuarantine is how long a request stays in quarantine at first. After
 	// each trial that ends in a crash it is quarantineFactor times as long, up to
@@ -150,11 +154,9 @@
 	return crashes
 }
 
-// findSole sets hasSole and sole of the crashes of one event. Where no other
-// request was in flight at any of them, nothing tells a request that causes them
-// from one that is frequent.
+// findSole sets hasSole and sole of the crashes of one event.
 func findSole(event []crash) {
-	if len(event) == 1 || !slices.ContainsFunc(event, func(c crash) bool { return c.others }) {
+	if len(event) < minCrashesAlone && !slices.ContainsFunc(event, func(c crash) bool { return c.others }) {
 		return
 	}
 	everywhere := slices.Clone(event[0].requests)
--- a/internal/quarantiner/verdict_test.go
+++ b/internal/quarantiner/verdict_test.go
@@ -69,6 +69,11 @@
 	// A crash and the copy of it in the store are one.
 	qt.Check(t, quarantinedBy(append(storm[:2:2], stored[:2]...)...), qt.HasLen, 0)
 
+	// A request that runs alone needs one crash more.
+	alone := []Report{crashAt(1, fatal), crashAt(1.005, fatal), crashAt(1.01, fatal)}
+	qt.Check(t, quarantinedBy(alone...), qt.HasLen, 0)
+	qt.Check(t, quarantinedBy(append(alone, crashAt(1.015, fatal))...), qt.DeepEquals, want)
+
 	qt.Check(t, quarantinedBy(append(storm, crashAt(1.015, 5))...), qt.HasLen, 0)
 	qt.Check(t, quarantinedBy(crashAt(1, fatal, 2, 3), crashAt(1.005, fatal, 2, 4), crashAt(1.01, fatal, 2)), qt.HasLen, 0)
 	qt.Check(t, quarantinedBy(crashAt(1, 2), crashAt(1.005, 3), crashAt(1.01, 4)), qt.HasLen, 0)
