--- a/internal/clientload/process_test.go
+++ b/internal/clientload/process_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -113,16 +114,25 @@
 	return name
 }
 
+// Ports of the test lie below those that the kernel gives to outgoing connections: one
+// of these could take a port between its choice and the start of its process.
+const lowestPort, portCount = 15_000, 15_000
+
 // freeAddress returns an address of loopback that nothing listens at.
 func freeAddress(t *testing.T) string {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	qt.Assert(t, err, qt.IsNil)
-	defer ln.Close()
-	return ln.Addr().String()
+	for range 100 {
+		address := net.JoinHostPort("127.0.0.1", strconv.Itoa(lowestPort+rand.IntN(portCount)))
+		ln, err := net.Listen("tcp", address)
+		if err != nil {
+			continue // in use
+		}
+		qt.Assert(t, ln.Close(), qt.IsNil)
+		return address
+	}
+	t.Fatal("no free port")
+	return ""
 }
 
-// startFleet starts a stand-in of the store and of a target, and a node with each
-// dialect. It returns the nodes' ports: the callers', the link and the admin port
 // belong to one node, the readiness and the announcement port to the other.
 func startFleet(t *testing.T, descriptors int, env []string) []*port {
 	program, store := buildProgram(t), freeAddress(t)
