--- a/review/standin-2/fleet.go
+++ b/review/standin-2/fleet.go
@@ -38,6 +38,8 @@
 	machines []*machine
 	version  int
 	zones    map[string]any
+	// memory is that of each machine in MB.
+	memory int
 }
 
 type ports struct{ link, admin, outbound, inbound, ready, control, app, store int }
@@ -58,7 +60,7 @@
 
 // newFleet starts the store. Its addresses were free when it was called.
 func newFleet(o options) (*fleet, error) {
-	f := &fleet{wire: o.wire, record: o.record, binary: o.binary, folder: o.folder, trouble: o.trouble, zones: map[string]any{}}
+	f := &fleet{wire: o.wire, record: o.record, binary: o.binary, folder: o.folder, trouble: o.trouble, zones: map[string]any{}, memory: 284}
 	b, err := os.ReadFile(o.template)
 	if err != nil {
 		return nil, err
@@ -97,7 +99,7 @@
 			"inbound": m.address(p.inbound), "outbound": m.address(p.outbound), "ready": m.address(p.ready), "control": m.address(p.control),
 		},
 		"portRange": []any{p.link, p.admin}, "heartbeatMs": beatInterval.Milliseconds(),
-		"limits":  map[string]any{"memoryMb": 284, "maxFds": 4100},
+		"limits":  map[string]any{"memoryMb": m.fleet.memory, "maxFds": 4100},
 		"bounds":  map[string]any{"floorShare": 0.7, "graceS": 6, "retrySlack": 62, "quotaSlack": 20},
 		"appAddr": m.address(p.app), "service": m.service,
 		"platform": map[string]any{"address": m.fleet.storeAddress()},
--- /dev/null
+++ b/review/standin-2/readers.go
@@ -0,0 +1,141 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Figures of readersCase.
+const (
+	memoryMB     = 184
+	readers      = 1200
+	slots        = 15
+	work         = 400 * time.Millisecond
+	answerBytes  = 250 << 10
+	stopAfter    = 4 << 10
+	crowdTime    = 12 * time.Second
+	megabyte     = 1 << 20
+	pollInterval = 20 * time.Millisecond
+)
+
+func init() { cases["readers"] = readersCase }
+
+// readersCase: a crowd of clients of one machine asks for downloads and stops reading
+// half-way. The platform kills a process that exceeds the memory of its machine.
+func readersCase(f *fleet) (bool, error) {
+	const service = "files"
+	f.memory = memoryMB
+	for i := range 7 {
+		f.addMachine(fmt.Sprintf("sidecar-%d", i+1), "zone-a", service)
+	}
+	f.configure([]route{
+		{"file", "/file/", service, "idempotent", 10 * time.Second, 8 * time.Second, 2, true},
+		{"book", "/book/", service, "non_idempotent", 5 * time.Second, 2 * time.Second, 2, true},
+	}, nil, 0)
+	for i, m := range f.machines {
+		if err := m.start(); err != nil {
+			return false, err
+		}
+		u, err := m.startUpstream(fmt.Sprintf("i-%d", i+1), slots, work)
+		if err != nil {
+			return false, err
+		}
+		u.fileBytes = answerBytes
+	}
+	if err := f.ready(10 * time.Second); err != nil {
+		return false, err
+	}
+	time.Sleep(contactTime + 2*time.Second)
+	m := f.machines[0]
+	peak, killed := 0, false
+	end := make(chan struct{})
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		for {
+			select {
+			case <-end:
+				return
+			case <-time.After(pollInterval):
+			}
+			n := m.resident()
+			if n > peak {
+				peak = n
+			}
+			if n > memoryMB*megabyte && !killed {
+				killed = true
+				f.record.add("node %s holds %d MB, its machine has %d", m.name, n/megabyte, memoryMB)
+				m.signal(syscall.SIGKILL)
+			}
+		}
+	})
+	var crowd sync.WaitGroup
+	for range readers {
+		crowd.Go(func() { m.download(f.trouble) })
+	}
+	time.Sleep(crowdTime)
+	a := m.send(request{"POST", "/book/1", "", []byte("one"), 5 * time.Second})
+	close(end)
+	wg.Wait()
+	f.record.add("node %s held %d MB at most, its machine has %d; killed: %v; an ordinary request afterwards: status %d, error: %v", m.name, peak/megabyte, memoryMB, killed, a.status, a.err)
+	fmt.Printf("%d MB at most, %d allowed, killed: %v, an ordinary request afterwards: status %d\n", peak/megabyte, memoryMB, killed, a.status)
+	if !f.trouble {
+		crowd.Wait()
+	}
+	return killed, nil
+}
+
+// resident returns the resident memory of the node's process in bytes.
+func (m *machine) resident() int {
+	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", m.cmd.Process.Pid))
+	if err != nil {
+		return 0
+	}
+	fields := strings.Fields(string(b))
+	if len(fields) < 2 {
+		return 0
+	}
+	n, _ := strconv.Atoi(fields[1])
+	return n * os.Getpagesize()
+}
+
+// download asks for a download, and stops reading after its first bytes if stops is
+// set.
+func (m *machine) download(stops bool) {
+	f := m.fleet
+	dialer := net.Dialer{Timeout: 3 * time.Second, Control: ethernetSocket}
+	conn, err := dialer.Dial("tcp", m.address(f.ports.outbound))
+	if err != nil {
+		f.record.add("not connected: %v", err)
+		return
+	}
+	defer conn.Close()
+	id := fmt.Sprintf("%016x", rand.Uint64())
+	f.record.add("sent %s GET /file/1 at %s", id, m.name)
+	fmt.Fprintf(conn, "GET /file/1 HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: 9000\r\n\r\n", host, f.wire.Attempt, id, f.wire.Deadline)
+	if stops {
+		n, _ := io.ReadFull(conn, make([]byte, stopAfter))
+		f.record.add("read %d bytes of the answer to %s, no more", n, id)
+		time.Sleep(crowdTime)
+		return
+	}
+	_ = conn.SetReadDeadline(time.Now().Add(crowdTime))
+	n, err := io.CopyN(io.Discard, conn, answerBytes)
+	f.record.add("read %d bytes of the answer to %s, error: %v", n, id, err)
+}
+
+// ethernetSocket gives a connection the segments of an Ethernet and a small window, as
+// the platform's links have. On loopback the kernel would hold a whole answer.
+func ethernetSocket(_, _ string, c syscall.RawConn) error {
+	return c.Control(func(fd uintptr) {
+		_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_MAXSEG, 1460)
+		_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 16<<10)
+	})
+}
--- a/review/standin-2/upstream.go
+++ b/review/standin-2/upstream.go
@@ -52,11 +52,13 @@
 	leaving bool
 	// garbled is the share of the large answers that break off.
 	garbled float64
+	// fileBytes is the size of the large answers.
+	fileBytes int
 }
 
 // startUpstream starts an upstream beside a machine's node.
 func (m *machine) startUpstream(id string, slots int, work time.Duration) (*upstream, error) {
-	u := &upstream{machine: m, id: id, born: time.Now().UnixMilli(), work: work, slots: slots, queue: 72, state: "ready", beats: true, free: make(chan struct{}, slots)}
+	u := &upstream{machine: m, id: id, born: time.Now().UnixMilli(), work: work, slots: slots, queue: 72, state: "ready", beats: true, fileBytes: fileBytes, free: make(chan struct{}, slots)}
 	ln, err := net.Listen("tcp", m.address(m.fleet.ports.app))
 	if err != nil {
 		return nil, err
@@ -289,9 +291,9 @@
 	u.mu.Lock()
 	broken := rand.Float64() < u.garbled
 	u.mu.Unlock()
-	w.Header().Set("Content-Length", strconv.Itoa(fileBytes))
+	w.Header().Set("Content-Length", strconv.Itoa(u.fileBytes))
 	if !broken {
-		_, _ = w.Write(make([]byte, fileBytes))
+		_, _ = w.Write(make([]byte, u.fileBytes))
 		return
 	}
 	u.machine.fleet.record.add("%s breaks off its answer to %s", u.id, id)
