exithandler: a response that ends in a reset is not complete

Cause: the kernel reports a reset once. If the goroutine that writes the upload gets it, the read after it gets 0 bytes, which is how a response without a length ends. Nothing asked whether the request had been written.

Change: the connection to a target counts what is written of the request. The end of a response that ends with its connection waits until the request was written whole, and is an error if it can't be. That also holds between two writes of an upload, and a target that ends its side after a whole response and reads on gets its response through.

--- a/internal/exithandler/guard.go
+++ b/internal/exithandler/guard.go
@@ -28,17 +28,17 @@
 
 // guardConn wraps a connection that was dialed for one call with the guard of
 // its context, if there is one.
-func guardConn(ctx context.Context, c net.Conn) net.Conn {
+func guardConn(ctx context.Context, c *statusConn) net.Conn {
 	g, ok := ctx.Value(guardKey{}).(*guard)
 	if !ok {
 		return c
 	}
-	return &guardedConn{Conn: c, guard: g}
+	return &guardedConn{statusConn: c, guard: g}
 }
 
 // guardedConn runs the guard's check before the first byte is written.
 type guardedConn struct {
-	net.Conn
+	*statusConn
 	guard *guard
 }
 
@@ -51,7 +51,7 @@
 		}
 		c.guard.sent.Store(true)
 	}
-	return c.Conn.Write(b)
+	return c.statusConn.Write(b)
 }
 
 func (g *guard) runCheck() error {
--- a/internal/exithandler/sender.go
+++ b/internal/exithandler/sender.go
@@ -66,19 +66,26 @@
 // initTransports creates the transports. Each non-idempotent call gets a new
 // connection: a pooled one may turn out to be closed or have gone silent.
 func (s *Sender) initTransports() {
-	dial := func(ctx context.Context, _, address string) (net.Conn, error) {
+	dial := func(ctx context.Context, address string) (*statusConn, error) {
 		c, err := s.Dial(ctx, address)
 		if err != nil {
 			return nil, err
 		}
 		return checkStatusOn(c), nil
 	}
+	dialPooled := func(ctx context.Context, _, address string) (net.Conn, error) {
+		c, err := dial(ctx, address)
+		if err != nil {
+			return nil, err
+		}
+		return c, nil
+	}
 	s.pooled = &http.Transport{
-		DialContext: dial, DisableCompression: true, MaxResponseHeaderBytes: maxResponseHeadBytes,
+		DialContext: dialPooled, DisableCompression: true, MaxResponseHeaderBytes: maxResponseHeadBytes,
 		IdleConnTimeout: idleConnTimeout, MaxIdleConnsPerHost: maxIdleConnsPerTarget,
 	}
-	dialGuarded := func(ctx context.Context, network, address string) (net.Conn, error) {
-		c, err := dial(ctx, network, address)
+	dialGuarded := func(ctx context.Context, _, address string) (net.Conn, error) {
+		c, err := dial(ctx, address)
 		if err != nil {
 			return nil, err
 		}
@@ -133,9 +140,6 @@
 	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		g.sent.Store(true)
 		conn = info
-		if c, ok := info.Conn.(*statusConn); ok {
-			c.expectResponse()
-		}
 	}})
 	res, err = s.roundTripOn(traced, j, s.pooled)
 	invalid := (*invalidStatusError)(nil)
@@ -151,6 +155,11 @@
 }
 
 func (s *Sender) roundTripOn(ctx context.Context, j *Job, transport *http.Transport) (*http.Response, error) {
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		if c, ok := info.Conn.(interface{ beginCall(body int64) }); ok {
+			c.beginCall(int64(len(j.Call.Body)))
+		}
+	}})
 	req, err := s.newRequest(ctx, j)
 	if err != nil {
 		return nil, coder.New(coder.BadRequest, "%v", err)
--- a/internal/exithandler/status.go
+++ b/internal/exithandler/status.go
@@ -2,7 +2,9 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -32,7 +34,7 @@
 // 200 on, so that the rest of what the target sends there is taken for the response
 // to another call.
 type statusConn struct {
-	net.Conn
+	*uploadConn
 	// expected is true when a call got the connection and nothing was read since.
 	expected atomic.Bool
 	check    statusCheck
@@ -40,24 +42,29 @@
 	invalid error
 }
 
-// checkStatusOn returns a connection to a target that checks responses. Its first
-// response is expected at once, each later one by expectResponse.
+// checkStatusOn returns a connection to a target that checks responses.
 func checkStatusOn(c net.Conn) *statusConn {
-	s := &statusConn{Conn: c}
-	s.expectResponse()
-	return s
+	return &statusConn{uploadConn: newUploadConn(c)}
 }
 
-// expectResponse has the next bytes checked as the start of a response.
-func (c *statusConn) expectResponse() { c.expected.Store(true) }
+// beginCall is called before a call with a body of a length in bytes is sent. The
+// next bytes are checked as the start of a response.
+func (c *statusConn) beginCall(body int64) {
+	c.beginRequest(body)
+	c.expected.Store(true)
+}
 
 // Read reads from the target. It returns an invalidStatusError instead of the bytes
-// that contain an invalid status.
+// that contain an invalid status, and errBrokenRequest instead of the end of a
+// response if the call could not be written whole.
 func (c *statusConn) Read(b []byte) (int, error) {
 	if c.invalid != nil {
 		return 0, c.invalid
 	}
 	n, err := c.Conn.Read(b)
+	if n == 0 && c.check.done && !c.expected.Load() && errors.Is(err, io.EOF) {
+		return 0, c.checkEnd()
+	}
 	if n > 0 && c.expected.Swap(false) {
 		c.check = statusCheck{}
 	}
