httpserver: a truncated response without a length resets its connection

Found while looking for the cause of the partial response after a reset.

Change: a connection that is closed in the middle of such a response is reset.

Evidence: TestTruncatedResponseWithoutLengthIsReset, whose second case failed before.

--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/zinniaproxy/zinniaproxy/internal/accountant"
@@ -45,6 +46,9 @@
 	cancel context.CancelFunc
 	// slots bounds the requests in flight.
 	slots chan struct{}
+	// undelimited is true while a response is incomplete whose end is marked by
+	// closing the connection.
+	undelimited atomic.Bool
 
 	mu sync.Mutex
 	// unanswered are the requests that were read but not answered yet, in the
@@ -118,6 +122,17 @@
 	k.netConn.Close()
 }
 
+// closeNow closes the connection without waiting for the caller. It resets the
+// connection in the middle of a response whose end is marked by closing, so that the
+// response does not look complete.
+func (k *conn) closeNow() {
+	c, ok := k.netConn.(interface{ SetLinger(seconds int) error })
+	if ok && k.undelimited.Load() {
+		_ = c.SetLinger(0) // fails only on a connection that is closed
+	}
+	k.netConn.Close()
+}
+
 // watchForDisconnect returns when the last response is written or the caller
 // has closed the connection. It discards what it reads, at most
 // maxDiscardedBytes.
@@ -253,7 +268,7 @@
 		if w.truncated {
 			// Close before done is closed: no response may follow a truncated one.
 			k.cancel()
-			k.netConn.Close()
+			k.closeNow()
 		}
 		k.markAnswered(w)
 		w.owner.Close()
--- a/internal/httpserver/httpserver_test.go
+++ b/internal/httpserver/httpserver_test.go
@@ -135,6 +135,29 @@
 	qt.Check(t, order, qt.DeepEquals, []string{"/1"})
 }
 
+// Guards against a part of a response that a caller of HTTP/1.0 takes for a complete
+// one: the end of the connection marks its end.
+func TestTruncatedResponseWithoutLengthIsReset(t *testing.T) {
+	for _, tc := range []struct {
+		path     string
+		complete bool
+	}{{"/whole", true}, {"/aborted", false}} {
+		t.Run(tc.path, func(t *testing.T) {
+			s := &Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				_, _ = io.WriteString(w, "part of the body")
+				w.(http.Flusher).Flush()
+				if r.URL.Path == "/aborted" {
+					panic(http.ErrAbortHandler)
+				}
+			})}
+			c := dial(t, serve(t, s))
+			c.send("GET " + tc.path + " HTTP/1.0\n\n")
+			_, err := io.Copy(io.Discard, c.in)
+			qt.Check(t, err == nil, qt.Equals, tc.complete, qt.Commentf("%v", err))
+		})
+	}
+}
+
 // The next response must not follow a truncated one: the caller would take its
 // bytes for the rest of the first.
 func TestNothingFollowsTruncatedResponse(t *testing.T) {
--- a/internal/httpserver/limits.go
+++ b/internal/httpserver/limits.go
@@ -211,6 +211,6 @@
 	k.evicted, k.interrupted, k.draining = true, true, true
 	k.mu.Unlock()
 	k.cancel()
-	k.netConn.Close()
+	k.closeNow()
 	k.server.remove(k)
 }
--- a/internal/httpserver/writer.go
+++ b/internal/httpserver/writer.go
@@ -124,6 +124,7 @@
 		h.Set("Transfer-Encoding", "chunked")
 	default:
 		w.close = true
+		w.conn.undelimited.Store(true)
 	}
 	if !w.close && (h.Get("Connection") == "close" || w.conn.server.shuttingDown()) {
 		w.close = w.conn.closeAfter(w)
@@ -194,6 +195,9 @@
 	if w.conn.out.Flush() != nil || w.remaining > 0 {
 		w.truncated = true
 	}
+	if !w.truncated {
+		w.conn.undelimited.Store(false)
+	}
 	if w.close {
 		w.conn.mu.Lock()
 		w.conn.draining, w.conn.interrupted = true, true
