--- a/internal/node/process.go
+++ b/internal/node/process.go
@@ -30,7 +30,7 @@
 			return dialer.DialContext(ctx, "tcp", address)
 		},
 		ListenPackets: prober.Listen,
-		Store:         m.InstrumentStore(storer.Dial(s.Store, &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext}})),
+		Store:         m.InstrumentStore(storer.Dial(s.Store, &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxResponseHeaderBytes: maxHeaderBytes}})),
 		Log:           out.Logr(s.Level).WithValues("node", s.Name, "centre", s.Centre),
 		Events:        eventLogger(s, out),
 	}
