attemptsender: responses are buffered in the pieces in which they come

A response of unknown length was copied into a buffer that doubled, so that buffering 256 KiB allocated three times as much.

Change: the pieces are kept as they come, and reserved one by one.

--- a/internal/attemptsender/attemptsender.go
+++ b/internal/attemptsender/attemptsender.go
@@ -53,7 +53,7 @@
 	// Head is the head of the target's response. Its Body is in Buffered.
 	Head messenger.ResponseHead
 	// Buffered is the buffered start of the body, or all of it if Complete.
-	Buffered []byte
+	Buffered Pieces
 	Complete bool
 	// Target is the name of the target that responded.
 	Target string
@@ -65,7 +65,7 @@
 // StoredResponse returns a Response from the stored response of an earlier call,
 // whose body is h.Body.
 func StoredResponse(h messenger.ResponseHead) *Response {
-	return &Response{Head: h, Buffered: h.Body, Complete: true, Source: Source{Close: func() {}}}
+	return &Response{Head: h, Buffered: Pieces{}.with(h.Body), Complete: true, Source: Source{Close: func() {}}}
 }
 
 // Failed reports whether the target responded with a status of 500 or above.
@@ -182,51 +182,32 @@
 	if !messenger.EndsRequest(head.Status) {
 		return coder.New(coder.Cut, "status %d ends no request", head.Status)
 	}
-	r.Head, r.Buffered, r.Complete = *head, head.Body, last
+	r.Head, r.Complete = *head, last
 	r.Head.Body = nil
 	owner := accountant.FromContext(ctx)
-	owner.Account().Charge(owner, int64(cap(r.Buffered)))
+	account := owner.Account()
+	account.Charge(owner, int64(cap(head.Body)))
+	r.Buffered = r.Buffered.with(head.Body)
 	// Without room for a further piece in the account the response is not buffered
 	// any further, but read as the caller reads it.
-	for !r.Complete && len(r.Buffered) < MaxBufferedBytes && r.grow(owner) {
-		_, body, last, err := r.Source.Recv(ctx)
+	for !r.Complete && r.Buffered.Len() < MaxBufferedBytes && account.Reserve(owner, pieceBytes) {
+		_, piece, last, err := r.Source.Recv(ctx)
 		if err != nil {
 			return err
 		}
-		r.Buffered, r.Complete = append(r.Buffered, body...), last
+		account.Release(owner, int64(pieceBytes-min(cap(piece), pieceBytes)))
+		r.Buffered, r.Complete = r.Buffered.with(piece), last
 	}
 	return r.checkLength(method)
 }
 
-// grow makes room for a further piece, and reports whether the account had room for
-// it.
-func (r *Response) grow(owner *accountant.Owner) bool {
-	needed := len(r.Buffered) + pieceBytes
-	if r.Head.Length >= 0 {
-		needed = int(min(r.Head.Length, MaxBufferedBytes+pieceBytes))
-	}
-	if needed <= cap(r.Buffered) {
-		return true
-	}
-	size := needed
-	if r.Head.Length < 0 {
-		size = min(max(needed, 2*cap(r.Buffered)), MaxBufferedBytes+pieceBytes)
-	}
-	if !owner.Account().Reserve(owner, int64(size)) {
-		return false
-	}
-	owner.Account().Release(owner, int64(cap(r.Buffered)))
-	r.Buffered = append(make([]byte, 0, size), r.Buffered...)
-	return true
-}
-
 // checkLength compares the length of a complete body with the length in the head.
 func (r *Response) checkLength(method string) error {
 	noBody := method == http.MethodHead || r.Head.Status == http.StatusNotModified
-	if !r.Complete || r.Head.Length < 0 || noBody || int64(len(r.Buffered)) == r.Head.Length {
+	if !r.Complete || r.Head.Length < 0 || noBody || int64(r.Buffered.Len()) == r.Head.Length {
 		return nil
 	}
-	return coder.New(coder.Cut, "response body has %d of %d bytes", len(r.Buffered), r.Head.Length)
+	return coder.New(coder.Cut, "response body has %d of %d bytes", r.Buffered.Len(), r.Head.Length)
 }
 
 // send sends the call to the target's exit node, or runs it if that is this node.
--- a/internal/entryhandler/filter.go
+++ b/internal/entryhandler/filter.go
@@ -269,12 +269,12 @@
 	if n := response.Head.Length; n >= 0 {
 		header.Set("Content-Length", strconv.FormatInt(n, 10))
 	} else if response.Complete {
-		header.Set("Content-Length", strconv.Itoa(len(response.Buffered)))
+		header.Set("Content-Length", strconv.Itoa(response.Buffered.Len()))
 	}
 	h.traceIfHeld(x)
 	x.headWritten = true
 	x.Writer.WriteHeader(response.Head.Status)
-	if _, err := x.Writer.Write(response.Buffered); err != nil && len(response.Buffered) > 0 {
+	if _, err := response.Buffered.WriteTo(x.Writer); err != nil {
 		return coder.New(coder.Canceled, "%v", err)
 	}
 	if response.Complete {
--- a/internal/requestrunner/keyed.go
+++ b/internal/requestrunner/keyed.go
@@ -62,9 +62,9 @@
 		return recorder.Outcome{Ran: coder.Of(err).Ran()}
 	}
 	o := recorder.Outcome{Ran: coder.RanYes}
-	if response.Complete && len(response.Buffered) <= maxStoredBodyBytes {
+	if response.Complete && response.Buffered.Len() <= maxStoredBodyBytes {
 		h := response.Head
-		h.Body = response.Buffered
+		h.Body = response.Buffered.Bytes()
 		o.Answer = messenger.Encode(&h)
 	}
 	return o
