exithandler: calls that wait for a slot are checked again before they start

Cause: an exit checked a call when it arrived, before it waits for its slot, which may take as long as its latency objective allows.

Change: a waiting call is refused as not run when the notice of its target, data centre or node is over, while the slots are still taken, and once more when it has its slot. Each check that can go stale while a call waits: - target, data centre or node leaves: queue and start, new - target was replaced or has withdrawn: start, new; withdrawn: queue, new - target hangs or is ejected: queue and start, by the circuit breaker (before) - deadline, caller gone: queue and start (before) - request in quarantine: start (before) - duplicate, refused as not run elsewhere: first byte (before) - key withdrawn, rate, configuration: not again. They are judged by when the caller sent the request, and the wait is bounded by its objective.

--- a/internal/admitter/admitter_test.go
+++ b/internal/admitter/admitter_test.go
@@ -195,3 +195,38 @@
 		}
 	})
 }
+
+// Guards against calls that wait for a slot of a target that leaves, and reach it late:
+// they are refused as not run while the slot is still taken, so that they go elsewhere
+// at once.
+func TestWaitingCallsOfALeavingTargetAreRefusedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		target := messenger.Target{Name: "t", Service: "s", Epoch: 1, Slots: 1}
+		a := &Admitter{
+			ColdLimit: func(string) int { return 1 }, CentreOut: func() bool { return false },
+			Detector: &detector.Detector{}, RefreshVerdicts: func() {},
+		}
+		a.ApplyVerdict(target)
+		began := time.Now()
+		newJob := func() *exithandler.Job {
+			return &exithandler.Job{Call: &messenger.Call{Aim: 20 * time.Second}, Target: target, Deadline: began.Add(time.Minute), CheckLeaving: func() error {
+				if time.Since(began) < time.Second {
+					return nil
+				}
+				return coder.New(coder.TargetLeaving, "t")
+			}}
+		}
+		release, err := a.Acquire(t.Context(), newJob())
+		qt.Assert(t, err, qt.IsNil)
+		var wg sync.WaitGroup
+		for range 5 {
+			wg.Go(func() {
+				_, err := a.Acquire(t.Context(), newJob())
+				qt.Check(t, coder.Of(err).Code, qt.Equals, coder.TargetLeaving)
+				qt.Check(t, time.Since(began) < 1200*time.Millisecond, qt.IsTrue, qt.Commentf("%v", time.Since(began)))
+			})
+		}
+		wg.Wait()
+		release(exithandler.Outcome{Result: exithandler.Good})
+	})
+}
--- a/internal/admitter/ticket.go
+++ b/internal/admitter/ticket.go
@@ -46,10 +46,26 @@
 		return slot, nil
 	}
 	t := s.ticket(j)
-	t.Refuse = a.breakerCheck(j)
+	t.Refuse = firstRefusal(j.CheckLeaving, a.breakerCheck(j))
 	return a.awaitSlot(ctx, s, j, t)
 }
 
+// firstRefusal returns a function that returns the first error of the given checks, of
+// which any may be nil.
+func firstRefusal(checks ...func() error) func() error {
+	return func() error {
+		for _, check := range checks {
+			if check == nil {
+				continue
+			}
+			if err := check(); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
+}
+
 // awaitSlot waits for a slot with a ticket of a job, and records the ticket's place
 // and wait in the job.
 func (a *Admitter) awaitSlot(ctx context.Context, s *targetState, j *exithandler.Job, t queuer.Ticket) (queuer.Slot, error) {
--- a/internal/drainer/drainer.go
+++ b/internal/drainer/drainer.go
@@ -86,6 +86,14 @@
 	return func() { d.callEnded(u) }, nil
 }
 
+// Check returns why a call to a target that was admitted must not start any more, or
+// nil.
+func (d *Drainer) Check(target string) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.refusal(target, d.usageOf(target), time.Now())
+}
+
 func (d *Drainer) callEnded(u *usage) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -181,7 +189,8 @@
 }
 
 // observe updates when targets and the data centre began to leave, and drops
-// targets that are neither announced nor in use.
+// targets that are neither announced nor in use. A target with calls that is no longer
+// announced leaves too: it has withdrawn.
 func (d *Drainer) observe(now time.Time) {
 	targets, out := d.Targets(), d.CentreOut()
 	d.mu.Lock()
@@ -194,8 +203,12 @@
 		u.leavingSince = updateStart(u.leavingSince, !t.AcceptsCalls(), now)
 	}
 	for name, u := range d.usages {
-		if !known[name] && u.inFlight == 0 {
+		switch {
+		case known[name]:
+		case u.inFlight == 0:
 			delete(d.usages, name)
+		default:
+			u.leavingSince = updateStart(u.leavingSince, true, now)
 		}
 	}
 }
--- a/internal/drainer/drainer_test.go
+++ b/internal/drainer/drainer_test.go
@@ -17,8 +17,10 @@
 // "a" and of the data centre.
 type fixture struct {
 	*Drainer
-	state         atomic.Uint32 // of target "a"
-	out           atomic.Bool
+	state atomic.Uint32 // of target "a"
+	out   atomic.Bool
+	// gone means that target "a" is not announced any more.
+	gone          atomic.Bool
 	peersNotified int
 }
 
@@ -27,6 +29,9 @@
 	f.Drainer = &Drainer{
 		Notice: DefaultNotice, FinishTimeout: DefaultFinishTimeout,
 		Targets: func() []messenger.Target {
+			if f.gone.Load() {
+				return []messenger.Target{{Name: "b"}}
+			}
 			return []messenger.Target{{Name: "a", State: messenger.State(f.state.Load())}, {Name: "b"}}
 		},
 		CentreOut:   func() bool { return f.out.Load() },
@@ -146,3 +151,33 @@
 		c.Check(time.Since(start), qt.Equals, DefaultFinishTimeout)
 	})
 }
+
+// Guards against a call that was admitted, waits and starts at a target that leaves
+// meanwhile, also at one that withdraws without a notice.
+func TestAdmittedCallsDoNotStartAfterNotice(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		leave func(f *fixture)
+	}{
+		{"draining", func(f *fixture) { f.state.Store(uint32(messenger.Draining)) }},
+		{"withdrawn", func(f *fixture) { f.gone.Store(true) }},
+		{"data centre out", func(f *fixture) { f.out.Store(true) }},
+		{"node stopping", func(f *fixture) { go f.Begin(context.Background()) }},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFixture(t)
+				done, err := f.Enter("a")
+				qt.Assert(t, err, qt.IsNil)
+				time.Sleep(time.Second)
+				qt.Check(t, f.Check("a"), qt.IsNil)
+				tc.leave(f)
+				time.Sleep(f.Notice / 2)
+				qt.Check(t, f.Check("a"), qt.IsNil)
+				time.Sleep(f.Notice/2 + 2*observeInterval)
+				qt.Check(t, f.Check("a"), qt.IsNotNil)
+				done()
+			})
+		})
+	}
+}
--- a/internal/exithandler/exithandler.go
+++ b/internal/exithandler/exithandler.go
@@ -75,6 +75,10 @@
 	Deadline time.Time
 	// ArrivedAt is when the call reached this node.
 	ArrivedAt time.Time
+	// CheckLeaving returns a refusal once the target, its data centre or the node
+	// takes no new calls. It is called while the call waits for its slot, and
+	// must not block. Nil means no check.
+	CheckLeaving func() error
 	// CheckBeforeSend is called right before the first byte of a non-idempotent
 	// call is sent to the target. It returns a refusal when the deadline has
 	// passed meanwhile. Nil means no check.
@@ -106,6 +110,9 @@
 	// Enter admits a call for a target, unless the target, its data centre or
 	// the node is leaving. leave must be called when the call ends.
 	Enter func(target string) (leave func(), err error)
+	// CheckLeaving returns the refusal of Enter for a call that it has admitted, or
+	// nil.
+	CheckLeaving func(target string) error
 	// Begin records the arrival of a call and refuses a duplicate. check becomes
 	// the job's CheckBeforeSend.
 	Begin func(c *messenger.Call, deadline time.Time) (check func() error, err error)
@@ -170,6 +177,7 @@
 		return err
 	}
 	defer leave()
+	j.CheckLeaving = func() error { return h.CheckLeaving(j.Target.Name) }
 	return next(ctx, j)
 }
 
@@ -183,7 +191,8 @@
 	return next(ctx, j)
 }
 
-// acquireSlot waits for a slot of the target and then checks the deadline again.
+// acquireSlot waits for a slot of the target and then checks again what may have
+// changed meanwhile.
 func (h *Handler) acquireSlot(ctx context.Context, j *Job, next Step) error {
 	queuedAt := time.Now()
 	release, err := h.Acquire(ctx, j)
@@ -201,9 +210,20 @@
 	if !start.Before(j.Deadline) || ctx.Err() != nil {
 		return coder.New(coder.DeadlineBefore, "while waiting for a slot")
 	}
+	if err := h.checkTarget(j); err != nil {
+		return err
+	}
 	return next(ctx, j)
 }
 
+// checkTarget returns a refusal if the target was replaced or takes no new calls.
+func (h *Handler) checkTarget(j *Job) error {
+	if t, ok := h.Lookup(j.Target.Name); !ok || t.Epoch != j.Target.Epoch {
+		return coder.New(coder.WrongTarget, "%s", j.Target.Name)
+	}
+	return j.CheckLeaving()
+}
+
 // refuseQuarantined refuses a call whose request crashes targets, also if that
 // became known while it waited for its slot.
 func (h *Handler) refuseQuarantined(ctx context.Context, j *Job, next Step) error {
--- a/internal/node/provide.go
+++ b/internal/node/provide.go
@@ -114,7 +114,7 @@
 
 func newExitHandler(r *targetregistrar.Registrar, a *admitter.Admitter, sender *exithandler.Sender, dd *deduper.Deduper, dr *drainer.Drainer, cw *crashwatcher.Watcher, q *quarantiner.Quarantiner, m *measurer.Measurer, t *tracer.Tracer) *exithandler.Handler {
 	return &exithandler.Handler{
-		Lookup: r.Lookup, Enter: dr.Enter,
+		Lookup: r.Lookup, Enter: dr.Enter, CheckLeaving: dr.Check,
 		Begin: beginAttempt(dd), Acquire: a.Acquire, Load: a.Load, Send: sender.Send, Tracer: t,
 		Waited: m.Queue, CallCut: cw.CallCut, Quarantine: q.Check, Completed: q.Completed,
 		Ended: func(o exithandler.Outcome) { m.Target(o.Result.String(), o.Latency) },
--- a/internal/reserver/fleet_test.go
+++ b/internal/reserver/fleet_test.go
@@ -109,7 +109,7 @@
 	x.admitter.ApplyVerdict(x.target)
 	dd := deduper.New(1)
 	x.handler = &exithandler.Handler{
-		Lookup: lookup, Enter: x.enter, Acquire: x.admitter.Acquire, Load: x.admitter.Load, Send: x.send, Tracer: x.admitter.Tracer,
+		Lookup: lookup, Enter: x.enter, CheckLeaving: func(string) error { return nil }, Acquire: x.admitter.Acquire, Load: x.admitter.Load, Send: x.send, Tracer: x.admitter.Tracer,
 		Begin: func(c *messenger.Call, deadline time.Time) (func() error, error) {
 			attempt, err := dd.Begin(c.ID, time.Until(deadline))
 			return attempt.Check, err
