httpserver: no request runs behind a response that may break off

Cause: idempotent requests ran at the same time whatever was in front of them, and a response above its buffer is streamed; if it breaks off the connection ends.

Change: no request begins to run behind a response that is streamed, and a response that is not complete is awaited, up to 1 MiB and as far as the account of bytes has room, if requests behind it have begun. A download that breaks off then is a refusal, followed by the responses behind it.

--- a/internal/attemptsender/attemptsender.go
+++ b/internal/attemptsender/attemptsender.go
@@ -21,6 +21,10 @@
 // caller noticing. The last buffered piece may go beyond it.
 const MaxBufferedBytes = 256 << 10
 
+// maxCompletedBytes is how much of a response body is buffered if the response must
+// not break off once it is written.
+const maxCompletedBytes = 1 << 20
+
 // pieceBytes is the largest piece of a response body.
 const pieceBytes = 32 << 10
 
@@ -185,12 +189,33 @@
 	r.Head, r.Complete = *head, last
 	r.Head.Body = nil
 	owner := accountant.FromContext(ctx)
-	account := owner.Account()
-	account.Charge(owner, int64(cap(head.Body)))
+	owner.Account().Charge(owner, int64(cap(head.Body)))
 	r.Buffered = r.Buffered.with(head.Body)
-	// Without room for a further piece in the account the response is not buffered
-	// any further, but read as the caller reads it.
-	for !r.Complete && r.Buffered.Len() < MaxBufferedBytes && account.Reserve(owner, pieceBytes) {
+	if err := r.bufferUpTo(ctx, MaxBufferedBytes); err != nil {
+		return err
+	}
+	return r.checkLength(method)
+}
+
+// BufferRest reads the rest of the body, unless that is longer than maxCompletedBytes
+// or the account has no room for it.
+func (r *Response) BufferRest(ctx context.Context, method string) error {
+	if r.Head.Length > maxCompletedBytes {
+		return nil
+	}
+	if err := r.bufferUpTo(ctx, maxCompletedBytes); err != nil {
+		return err
+	}
+	return r.checkLength(method)
+}
+
+// bufferUpTo reads until the response is complete or a number of bytes is buffered.
+// Without room for a further piece in the account the response is not buffered any
+// further, but read as the caller reads it.
+func (r *Response) bufferUpTo(ctx context.Context, size int) error {
+	owner := accountant.FromContext(ctx)
+	account := owner.Account()
+	for !r.Complete && r.Buffered.Len() < size && account.Reserve(owner, pieceBytes) {
 		_, piece, last, err := r.Source.Recv(ctx)
 		if err != nil {
 			return err
@@ -198,7 +223,7 @@
 		account.Release(owner, int64(pieceBytes-min(cap(piece), pieceBytes)))
 		r.Buffered, r.Complete = r.Buffered.with(piece), last
 	}
-	return r.checkLength(method)
+	return nil
 }
 
 // checkLength compares the length of a complete body with the length in the head.
--- a/internal/entryhandler/filter.go
+++ b/internal/entryhandler/filter.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/zinniaproxy/zinniaproxy/internal/accountant"
+	"github.com/zinniaproxy/zinniaproxy/internal/attemptsender"
 	"github.com/zinniaproxy/zinniaproxy/internal/indexer"
 	"github.com/zinniaproxy/zinniaproxy/pkg/coder"
 )
@@ -260,6 +261,9 @@
 		return err
 	}
 	defer response.Close()
+	if err := completeBehindOthers(ctx, x, response); err != nil {
+		return err
+	}
 	x.Target, x.Status = response.Target, response.Head.Status
 	header := x.Writer.Header()
 	for _, f := range response.Head.Header {
@@ -283,6 +287,17 @@
 	return streamBody(ctx, x.Writer, response.Next)
 }
 
+// completeBehindOthers buffers the rest of a response if requests behind it on its
+// connection have begun to run: should it break off while it is written, their
+// responses would be lost with the connection.
+func completeBehindOthers(ctx context.Context, x *Exchange, r *attemptsender.Response) error {
+	w, ok := x.Writer.(interface{ StartStream() bool })
+	if r.Complete || !ok || w.StartStream() {
+		return nil
+	}
+	return r.BufferRest(ctx, x.Request.Method)
+}
+
 // streamBody writes the rest of a response that was not buffered whole.
 func streamBody(ctx context.Context, w io.Writer, next func(context.Context) ([]byte, bool, error)) error {
 	for {
--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -65,6 +65,10 @@
 	draining bool
 	// begun is the number of the latest request that began to run.
 	begun int
+	// streaming is the response that is written while its body still arrives, nil if
+	// there is none. It may break off and end the connection, so that no further
+	// request begins to run behind it.
+	streaming *responseWriter
 	// closing is true when the response that closes the connection is being
 	// written. No further request may run then: the caller sends those behind it
 	// again.
--- a/internal/httpserver/unanswered.go
+++ b/internal/httpserver/unanswered.go
@@ -44,10 +44,16 @@
 	return w
 }
 
-// begin reports whether a request may run.
+// begin reports whether a request may run. Behind a response that is streamed it waits
+// for its turn.
 func (k *conn) begin(w *responseWriter) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	for k.streaming != nil && w.Held() {
+		k.mu.Unlock()
+		w.awaitTurn()
+		k.mu.Lock()
+	}
 	if k.closing {
 		return false
 	}
@@ -67,6 +73,15 @@
 	return true
 }
 
+// startStream records that a response is to be written while its body still arrives,
+// and reports whether no later request has begun to run.
+func (k *conn) startStream(w *responseWriter) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.streaming = w
+	return k.begun <= w.number
+}
+
 // closeIfIdle ends the reading of an idle connection, so that it closes, and that of
 // a request which takes longer than the head timeout to arrive. A request that
 // arrives at the same moment is either read and answered or not read.
@@ -97,6 +112,9 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.unanswered = slices.DeleteFunc(k.unanswered, func(o *responseWriter) bool { return o == w })
+	if k.streaming == w {
+		k.streaming = nil
+	}
 }
 
 // listUnanswered returns the requests that were read but not answered yet.
--- a/internal/httpserver/writer.go
+++ b/internal/httpserver/writer.go
@@ -68,6 +68,11 @@
 	}
 }
 
+// StartStream is called before a response is written whose body still arrives and may
+// break off, which ends the connection. It reports whether that would end no other
+// request: none behind it has begun to run, and none will until the response ends.
+func (w *responseWriter) StartStream() bool { return w.conn.startStream(w) }
+
 // SetReadDeadline sets the deadline of further reads of the request body. It does
 // nothing once the body was read.
 func (w *responseWriter) SetReadDeadline(t time.Time) error {
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -260,6 +260,11 @@
 		w.Header().Set("Content-Length", "100")
 		_, _ = io.WriteString(w, "half")
 		panic(http.ErrAbortHandler)
+	case strings.HasSuffix(r.URL.Path, "/broken-download"):
+		w.Header().Set("Content-Length", "520000")
+		_, _ = io.WriteString(w, strings.Repeat("d", 400_000))
+		time.Sleep(100 * time.Millisecond)
+		panic(http.ErrAbortHandler)
 	case strings.HasSuffix(r.URL.Path, "/shed"):
 		w.Header().Set("Zinnia-Ran", "no")
 		w.WriteHeader(http.StatusServiceUnavailable)
