targetregistrar: a late withdrawal keeps the next process of an instance

What callers would see: a target withdraws and starts again under the same instance; the first process's withdrawal arrives late, the node removes the new one and ignores its announcements for a minute.

Cause: the body of a withdrawal, which says when its process started, was not read.

Change: a withdrawal ends processes that started then or before; one that does not say when ends any, as before.

--- a/internal/targetregistrar/leave_test.go
+++ b/internal/targetregistrar/leave_test.go
@@ -84,7 +84,7 @@
 			if instance == "" {
 				_, err = r.Withdraw("s", ownAddress)
 			} else {
-				_, err = r.WithdrawInstance(instance)
+				_, err = r.WithdrawInstance(instance, 0)
 			}
 			qt.Check(t, err, qt.Equals, failure)
 			qt.Check(t, r.Targets(), qt.HasLen, 0)
@@ -105,3 +105,32 @@
 	r.RestoreLeave("i-1", 6)
 	qt.Check(t, r.Targets(), qt.HasLen, 0)
 }
+
+// Guards against a withdrawal of an earlier process that arrives late and takes the next
+// one of the same instance out of service.
+func TestLateWithdrawalOfAnEarlierProcess(t *testing.T) {
+	for _, tc := range []struct {
+		name             string
+		registered       uint64
+		withdrawn        uint64
+		remains, returns bool
+	}{
+		{"of the process", 6, 6, false, false},
+		{"of an earlier one", 6, 5, true, true},
+		{"of a later one", 6, 7, false, false},
+		{"of an unknown one", 6, 0, false, false},
+		{"of a discovered one", 0, 5, false, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r := newTestRegistrar()
+			a := Announcement{Service: "s", Address: ownAddress, State: messenger.Warm, TTL: time.Second, Instance: "i-1", Epoch: tc.registered}
+			qt.Assert(t, r.Announce(a), qt.IsNil)
+			_, err := r.WithdrawInstance("i-1", tc.withdrawn)
+			qt.Assert(t, err, qt.IsNil)
+			qt.Check(t, len(r.Targets()) == 1, qt.Equals, tc.remains)
+			a.Epoch = 6 // the target's own announcement
+			qt.Assert(t, r.Announce(a), qt.IsNil)
+			qt.Check(t, len(r.Targets()) == 1, qt.Equals, tc.returns)
+		})
+	}
+}
--- a/internal/targetregistrar/targetregistrar.go
+++ b/internal/targetregistrar/targetregistrar.go
@@ -245,13 +245,14 @@
 	return known, r.recordLeave(target, epoch)
 }
 
-// WithdrawInstance removes the targets of an instance and ignores its delayed
+// WithdrawInstance removes the targets of an instance whose process started at an
+// epoch or before, of any process if the epoch is 0, and ignores its delayed
 // announcements. It reports whether there was a target. Errors are *coder.Error.
-func (r *Registrar) WithdrawInstance(instance string) (known bool, err error) {
+func (r *Registrar) WithdrawInstance(instance string, epoch uint64) (known bool, err error) {
 	r.mu.Lock()
-	epoch := uint64(0)
+	latest := epoch
 	for name, reg := range r.registrations {
-		if reg.target.Instance != instance {
+		if reg.target.Instance != instance || latest > 0 && reg.announcedEpoch > latest {
 			continue
 		}
 		r.remove(name)
--- a/internal/targetregistrar/targetregistrar_test.go
+++ b/internal/targetregistrar/targetregistrar_test.go
@@ -47,7 +47,7 @@
 			if known {
 				qt.Assert(t, r.Announce(discovered), qt.IsNil)
 			}
-			was, err := r.WithdrawInstance("i-1")
+			was, err := r.WithdrawInstance("i-1", 0)
 			qt.Assert(t, err, qt.IsNil)
 			qt.Check(t, was, qt.Equals, known)
 			qt.Check(t, r.Announce(announced), qt.IsNil)
