leaverecorder: writes to the store are paced

Found by reading: whoever reaches the announcement port may withdraw any instance, and each withdrawal was a write to the store. A node makes at most five a second now, each with all its leaves, and a withdrawal is done once a write has it. TestWritesToTheStoreArePaced: 2,000 withdrawals in 2 s are recorded with 20 writes at most.

--- a/internal/leaverecorder/leaverecorder.go
+++ b/internal/leaverecorder/leaverecorder.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"golang.org/x/time/rate"
 
 	"github.com/zinniaproxy/zinniaproxy/internal/sampler"
 	"github.com/zinniaproxy/zinniaproxy/internal/storer"
@@ -59,8 +60,10 @@
 	Log    logr.Logger
 	Tracer *tracer.Tracer
 
-	// saving is held by the goroutine that writes to the store.
+	// saving is held by the goroutine that writes to the store, and pace bounds how
+	// often it does: whoever reaches the announcement port may withdraw anything.
 	saving chan struct{}
+	pace   *rate.Limiter
 	// wake signals that a leave is not in the store.
 	wake chan struct{}
 	// loaded is closed once the leaves of earlier processes are known.
@@ -88,6 +91,7 @@
 	}
 	r.own, r.held = ledger{}, map[string]ledger{}
 	r.saving, r.wake, r.loaded = make(chan struct{}, 1), make(chan struct{}, 1), make(chan struct{})
+	r.pace = rate.NewLimiter(maxWritesPerSecond, maxWriteBurst)
 }
 
 // Record records a leave. It returns nil once the store or, if that does not reply,
@@ -99,7 +103,7 @@
 	if r.own.add(l, time.Now()) {
 		r.change++
 	}
-	leaves, durable := r.own.list(), r.own[l.Target].durable
+	leaves, durable, change := r.own.list(), r.own[l.Target].durable, r.change
 	r.mu.Unlock()
 	if durable {
 		return nil
@@ -107,7 +111,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), recordTimeout)
 	stored, copied := make(chan error, 1), make(chan error, 1)
 	var wg sync.WaitGroup
-	wg.Go(func() { stored <- r.save(ctx) })
+	wg.Go(func() { stored <- r.save(ctx, change) })
 	wg.Go(func() { copied <- r.replicate(ctx, leaves) })
 	go func() {
 		wg.Wait()
--- a/internal/leaverecorder/leaverecorder_test.go
+++ b/internal/leaverecorder/leaverecorder_test.go
@@ -232,6 +232,27 @@
 	})
 }
 
+// Guards against a flood of withdrawals that becomes one of writes to the store. A fleet
+// of targets that all leave at once is recorded at once.
+func TestWritesToTheStoreArePaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet("a")
+		defer f.close()
+		time.Sleep(time.Second)
+		before := f.store.Counts().Writes
+		var wg sync.WaitGroup
+		for i := range 2000 {
+			wg.Go(func() {
+				time.Sleep(time.Duration(i) * time.Millisecond)
+				qt.Check(t, f.recorders["a"].Record(Leave{Target: fmt.Sprintf("i-%d", i), Start: 7}), qt.IsNil)
+			})
+		}
+		wg.Wait()
+		writes := f.store.Counts().Writes - before
+		qt.Check(t, writes <= 3*maxWritesPerSecond+maxWriteBurst, qt.IsTrue, qt.Commentf("%d writes", writes))
+	})
+}
+
 // Guards against memory without bound for a target that starts and leaves without end.
 func TestLedgerIsBounded(t *testing.T) {
 	d, now := ledger{}, time.Now()
--- a/internal/leaverecorder/store.go
+++ b/internal/leaverecorder/store.go
@@ -19,6 +19,9 @@
 	// which doubles while they fail.
 	minRetryInterval = 200 * time.Millisecond
 	maxRetryInterval = 8 * time.Second
+	// maxWritesPerSecond and maxWriteBurst bound the writes of one node. Each write
+	// has all leaves, so that those that wait share the next one.
+	maxWritesPerSecond, maxWriteBurst = 5, 5
 	// maxSaveTries bounds the writes of one save: for the present version, a lease
 	// that has ended, and both together.
 	maxSaveTries = 4
@@ -29,15 +32,15 @@
 
 func (r *Recorder) key() string { return KeyPrefix + r.Node }
 
-// save writes the leaves of this node to the store, unless it has them.
-func (r *Recorder) save(ctx context.Context) error {
+// save writes the leaves of this node to the store, unless it has them as of a change.
+func (r *Recorder) save(ctx context.Context, upTo uint64) error {
 	select {
 	case r.saving <- struct{}{}:
 		defer func() { <-r.saving }()
 	case <-ctx.Done():
 		return ctx.Err()
 	}
-	err := r.write(ctx)
+	err := r.write(ctx, upTo)
 	if err != nil {
 		r.signal()
 	}
@@ -45,15 +48,18 @@
 }
 
 // write is save for the holder of r.saving.
-func (r *Recorder) write(ctx context.Context) error {
+func (r *Recorder) write(ctx context.Context, upTo uint64) error {
 	for range maxSaveTries {
 		r.mu.Lock()
 		r.own.prune(time.Now())
 		change, saved, version, leaves := r.change, r.saved, r.version, r.own.list()
 		r.mu.Unlock()
-		if change == saved {
+		if saved >= upTo {
 			return nil
 		}
+		if err := r.pace.Wait(ctx); err != nil {
+			return err
+		}
 		version, err := r.Store.Swap(ctx, r.key(), messenger.Encode(leaves), version, r.Lease)
 		switch {
 		case err == nil:
@@ -134,7 +140,7 @@
 		}
 		sleep(ctx, interval)
 		tryCtx, cancel := context.WithTimeout(ctx, loadTimeout)
-		err := r.save(tryCtx)
+		err := r.save(tryCtx, r.latestChange())
 		cancel()
 		if err == nil {
 			interval = minRetryInterval
@@ -145,6 +151,12 @@
 	}
 }
 
+func (r *Recorder) latestChange() uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.change
+}
+
 // sleep waits for d or until ctx ends.
 func sleep(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
