--- a/review/standin-3/store.go
+++ b/review/standin-3/store.go
@@ -39,10 +39,12 @@
 	// machine last asked for changes of the operator's keys.
 	turnedAway map[string]bool
 	watchedAt  map[string]time.Time
+	// cut holds the machines that are cut off from the store: they get no answer.
+	cut map[string]bool
 }
 
 func newStore() *store {
-	return &store{rev: 1, era: 1, items: map[string]item{}, leases: map[uint64]time.Time{}, ttls: map[uint64]time.Duration{}, changed: make(chan struct{}), turnedAway: map[string]bool{}, watchedAt: map[string]time.Time{}}
+	return &store{rev: 1, era: 1, items: map[string]item{}, leases: map[uint64]time.Time{}, ttls: map[uint64]time.Duration{}, changed: make(chan struct{}), turnedAway: map[string]bool{}, watchedAt: map[string]time.Time{}, cut: map[string]bool{}}
 }
 
 // put writes a key as the operator does.
@@ -122,8 +124,33 @@
 	_ = json.NewEncoder(w).Encode(body)
 }
 
+// setCut cuts a machine off from the store, or ends that. Its open calls break then.
+func (s *store) setCut(n *node, cut bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cut[n.name] = cut
+	s.wake()
+}
+
+func (s *store) isCut(machine string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.cut[machine]
+}
+
+// awaitCutEnd waits while a machine is cut off, and then breaks its call.
+func (s *store) awaitCutEnd(machine string, r *http.Request) {
+	for s.isCut(machine) && r.Context().Err() == nil {
+		time.Sleep(50 * time.Millisecond)
+	}
+	panic(http.ErrAbortHandler) // closes the connection
+}
+
 // serve answers a call of a machine.
 func (s *store) serve(machine string, w http.ResponseWriter, r *http.Request) {
+	if s.isCut(machine) {
+		s.awaitCutEnd(machine, r)
+	}
 	s.mu.Lock()
 	refuse, era := s.refuse || s.turnedAway[machine], s.era
 	if !refuse && strings.HasSuffix(r.URL.Path, wire["watch"]) && strings.HasPrefix(r.URL.Query().Get("pathPrefix"), "op/") {
@@ -213,6 +240,9 @@
 			}
 		}
 		s.mu.Unlock()
+		if s.isCut(machine) {
+			s.awaitCutEnd(machine, r)
+		}
 		if away {
 			panic(http.ErrAbortHandler) // closes the connection
 		}
