indexer: a prefix with a last slash begins only paths that contain it

Cause: the index and the check of a declaration cut the last slash of prefix and path before they compared them. An encoded slash and dot segments, by which a path could pass for another as well, are rejected already (matchRoute).

Now one rule holds for all declarations: a prefix with a last slash begins only paths that contain the slash; one without begins the path itself and what is below it. /book and /book/ are two prefixes, so TestCheckReportsPathValueAndRule checks the overlap of equal paths, twice, and no longer that of the two.

--- a/internal/indexer/indexer.go
+++ b/internal/indexer/indexer.go
@@ -78,9 +78,7 @@
 	return strings.IndexByte("0123456789abcdef", c)
 }
 
-func routeKey(host, path string) string {
-	return host + "\n" + strings.TrimSuffix(path, "/")
-}
+func routeKey(host, prefix string) string { return host + "\n" + prefix }
 
 // Fleet returns the declaration. Its slices are shared: do not modify them.
 func (x *Index) Fleet() declarer.Fleet { return x.fleet }
@@ -104,7 +102,8 @@
 
 // Route returns the route of a request, or nil if none matches. A route for the
 // named host takes precedence over one for any host, then the longest prefix of
-// whole path segments.
+// whole path segments. A prefix that ends in a slash begins only paths that
+// contain the slash.
 func (x *Index) Route(method, host, path string) *declarer.Route {
 	if r := x.routeForHost(method, host, path); r != nil || host == "" {
 		return r
@@ -113,19 +112,23 @@
 }
 
 func (x *Index) routeForHost(method, host, path string) *declarer.Route {
-	path = strings.TrimSuffix(path, "/")
-	for {
-		for _, r := range x.routes[routeKey(host, path)] {
+	for prefix := path; prefix != ""; prefix = parentPrefix(prefix) {
+		for _, r := range x.routes[routeKey(host, prefix)] {
 			if allowsMethod(r, method) {
 				return r
 			}
 		}
-		i := strings.LastIndexByte(path, '/')
-		if i < 0 {
-			return nil
-		}
-		path = path[:i]
 	}
+	return nil
+}
+
+// parentPrefix returns the next shorter prefix of whole path segments: that of
+// /a/b is /a/, and that of /a/ is /a.
+func parentPrefix(prefix string) string {
+	if parent, ok := strings.CutSuffix(prefix, "/"); ok {
+		return parent
+	}
+	return prefix[:strings.LastIndexByte(prefix, '/')+1]
 }
 
 func allowsMethod(r *declarer.Route, method string) bool {
--- a/internal/indexer/indexer_test.go
+++ b/internal/indexer/indexer_test.go
@@ -1,6 +1,7 @@
 package indexer
 
 import (
+	"strings"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -30,6 +31,67 @@
 	}
 }
 
+// Guards against a request that reaches the service of a prefix that does not
+// begin its path: /guides/ must not match /guides.
+func TestRouteMatchesOnlyPrefixesOfThePath(t *testing.T) {
+	x := New(1, declarer.Fleet{}.
+		WithRoute(declarer.Route{Name: "guides", Path: "/guides/", Host: "jos.example"}).
+		WithRoute(declarer.Route{Name: "stock", Path: "/guides/stock/", Host: "jos.example"}).
+		WithRoute(declarer.Route{Name: "post", Path: "/book/", Methods: []string{"POST"}}).
+		WithRoute(declarer.Route{Name: "plain", Path: "/plain"}).
+		WithRoute(declarer.Route{Name: "below", Path: "/plain/"}))
+	for _, tc := range []struct{ method, host, path, want string }{
+		{"GET", "jos.example", "/guides/stock", "guides"},
+		{"GET", "jos.example", "/guides/stock/", "stock"},
+		{"GET", "jos.example", "/guides/stock/7", "stock"},
+		{"GET", "jos.example", "/guides/stocks/7", "guides"},
+		{"GET", "jos.example", "/guides/", "guides"},
+		{"GET", "jos.example", "/guides", ""},
+		{"GET", "jos.example", "/guidesx", ""},
+		{"GET", "jos.example", "/", ""},
+		{"GET", "jos.example", "*", ""},
+		{"GET", "jos.example", "", ""},
+		{"POST", "", "/book", ""},
+		{"POST", "jos.example", "/book", ""},
+		{"POST", "jos.example", "/book//", "post"},
+		{"GET", "", "/plain", "plain"},
+		{"GET", "", "/plain/", "below"},
+		{"GET", "", "/plain/7", "below"},
+	} {
+		got := ""
+		if r := x.Route(tc.method, tc.host, tc.path); r != nil {
+			got = r.Name
+		}
+		qt.Check(t, got, qt.Equals, tc.want, qt.Commentf("%+v", tc))
+	}
+}
+
+// Compares the lookup with a search through all routes.
+func TestRouteIsTheLongestDeclaredPrefix(t *testing.T) {
+	paths := rapid.StringMatching(`(/[ab]{0,2}){1,4}`)
+	rapid.Check(t, func(r *rapid.T) {
+		f := declarer.Fleet{}
+		for _, p := range rapid.SliceOfDistinct(paths, rapid.ID).Draw(r, "prefixes") {
+			f = f.WithRoute(declarer.Route{Name: p, Path: p})
+		}
+		path, want := paths.Draw(r, "path"), ""
+		for _, route := range f.Routes {
+			rest, ok := strings.CutPrefix(path, route.Path)
+			whole := rest == "" || strings.HasPrefix(rest, "/") || strings.HasSuffix(route.Path, "/")
+			if ok && whole && len(route.Path) > len(want) {
+				want = route.Path
+			}
+		}
+		got := ""
+		if route := New(1, f).Route("GET", "", path); route != nil {
+			got = route.Path
+		}
+		if got != want {
+			r.Fatalf("path %q: got route %q, want %q", path, got, want)
+		}
+	})
+}
+
 func TestKeyReturnsOnlyItsWorkspace(t *testing.T) {
 	rapid.Check(t, func(r *rapid.T) {
 		keys := rapid.SliceOfDistinct(rapid.String(), rapid.ID).Draw(r, "keys")
--- a/pkg/declarer/check.go
+++ b/pkg/declarer/check.go
@@ -5,7 +5,6 @@
 	"math"
 	"regexp"
 	"slices"
-	"strings"
 )
 
 // Limits of a declaration. schema.json contains the same values.
@@ -215,7 +214,7 @@
 	}
 	overlaps := false
 	for _, m := range methods {
-		key := r.Host + "\n" + strings.TrimSuffix(r.Path, "/") + "\n" + m
+		key := r.Host + "\n" + r.Path + "\n" + m
 		overlaps = overlaps || c.seenRoutes[key]
 		c.seenRoutes[key] = true
 	}
--- a/pkg/declarer/check_test.go
+++ b/pkg/declarer/check_test.go
@@ -48,7 +48,11 @@
 		{`routes[0].open: "club": ` + ruleOpen, func(f *Fleet) { f.Routes[0].Open, f.Routes[0].Workspace = true, "club" }},
 		{`routes[0].methods[1]: "POST": ` + ruleMethods, func(f *Fleet) { f.Routes[0].Methods = []string{"POST", "POST"} }},
 		{`routes[0].deadline: 0: ` + ruleDeadline, func(f *Fleet) { f.Routes[0].Deadline = 0 }},
+		{`routes[1].path: "/book": ` + ruleOverlap, func(f *Fleet) {
+			*f = f.WithRoute(Route{Name: "twin", Path: "/book", Methods: []string{"GET", "POST"}, Service: "booking", Deadline: 1})
+		}},
 		{`routes[1].path: "/book/": ` + ruleOverlap, func(f *Fleet) {
+			f.Routes[0].Path = "/book/"
 			*f = f.WithRoute(Route{Name: "twin", Path: "/book/", Methods: []string{"GET", "POST"}, Service: "booking", Deadline: 1})
 		}},
 	} {
@@ -60,6 +64,12 @@
 	}
 }
 
+// /book/ begins other paths than /book, so that both may be declared.
+func TestCheckTellsPrefixesByTheirLastSlash(t *testing.T) {
+	f := validFleet().WithRoute(Route{Name: "below", Path: "/book/", Methods: []string{"POST"}, Service: "booking", Deadline: 1})
+	qt.Assert(t, f.Check(), qt.HasLen, 0)
+}
+
 func TestReadRejectsInvalidDeclaration(t *testing.T) {
 	c := qt.New(t)
 	var valid bytes.Buffer
--- a/pkg/declarer/declarer.go
+++ b/pkg/declarer/declarer.go
@@ -100,8 +100,10 @@
 	Name string `json:"name"`
 	// Host is the host name that the route matches; empty means any.
 	Host string `json:"host,omitempty"`
-	// Path is a prefix of whole path segments and starts with a slash. The
-	// longest matching prefix wins.
+	// Path is a prefix of whole path segments and starts with a slash. One that
+	// ends in a slash matches only paths that contain it: /book/ does not match
+	// /book, and /book matches both /book and /book/7. The longest matching prefix
+	// wins.
 	Path string `json:"path"`
 	// Methods are the HTTP methods that the route matches; empty means all.
 	Methods []string `json:"methods,omitempty"`
