configurer: started nodes keep what they have read

Cause: a number orders what is in force by version, era, trust and then revision. A started node reads with the lowest trust, since the store may just have been restored, so that the number of a node which is cut off from the store is above it even where both have read one era and the started one has read it later. It followed the older configuration, and what it had read was not looked at again while the store was silent.

Now a node that hears of a higher number compares the readings. If its own is the later one of the same version and era, it keeps that and takes over what the other one knew: that the store has settled, or the orders kept from before a restoration. Its number then rises above both and the other node follows. What the trust protects keeps its tests, unchanged.

A node now remembers the last reading at which what it has in force was still right.

--- a/internal/configurer/configurer.go
+++ b/internal/configurer/configurer.go
@@ -97,11 +97,18 @@
 
 	index atomic.Pointer[indexer.Index]
 
+	// installing serializes what is read from the source and what is taken from
+	// other nodes. It is locked before mu.
+	installing sync.Mutex
+
 	mu sync.Mutex
 	// head and manifest are in force, overflow comes after the number of head;
 	// parts holds their blobs and those of the previous configuration.
 	head     Head
 	overflow uint64
+	// validAt is the latest known position at which the source held what is in
+	// force. It is at least the position in force.
+	validAt  position
 	manifest *manifest
 	parts    map[Hash]cachedBlob
 	// highestKnown is the highest position seen in the store, on a node or in a
@@ -161,7 +168,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.init()
-	if known := (position{number, overflow}); known.after(c.highestKnown) && c.mayFollow(number) {
+	if known := (position{number, overflow}); known.after(c.highestKnown) && c.mayFollow(known, c.position()) {
 		c.highestKnown = known
 		c.wakeRun()
 	}
@@ -298,13 +305,7 @@
 		c.mu.Unlock()
 		return false
 	}
-	parts := make(map[Hash]cachedBlob, len(m.Parts)+1)
-	for _, hash := range m.hashes() {
-		parts[hash] = c.parts[hash]
-		if p, ok := fetched[hash]; ok {
-			parts[hash] = p
-		}
-	}
+	parts := c.collectParts(m, fetched)
 	index := indexer.New(h.Number, joinFleet(m, parts))
 	parts[h.Manifest] = cachedBlob{data: manifestData}
 	for _, old := range append(c.manifest.hashes(), c.head.Manifest) {
@@ -312,6 +313,9 @@
 			parts[old] = cachedBlob{data: c.parts[old].data} // for nodes still fetching the previous configuration
 		}
 	}
+	if h.Manifest != c.head.Manifest || !c.validAt.decode().readLater(next.decode()) {
+		c.validAt = next
+	}
 	c.head, c.overflow, c.manifest, c.parts = h, overflow, m, parts
 	c.raiseKnown(next)
 	c.index.Store(index)
@@ -328,3 +332,16 @@
 	}
 	return true
 }
+
+// collectParts returns the parts of a manifest, of which the missing ones have been
+// fetched. The caller holds the lock.
+func (c *Configurer) collectParts(m *manifest, fetched map[Hash]cachedBlob) map[Hash]cachedBlob {
+	parts := make(map[Hash]cachedBlob, len(m.Parts)+1)
+	for _, hash := range m.hashes() {
+		parts[hash] = c.parts[hash]
+		if p, ok := fetched[hash]; ok {
+			parts[hash] = p
+		}
+	}
+	return parts
+}
--- a/internal/configurer/fetch.go
+++ b/internal/configurer/fetch.go
@@ -117,19 +117,26 @@
 	if c.Number() == 0 {
 		n, minReplies = bootPeersPerRound, min(minBootReplies, len(c.Peers()))
 	}
+	c.mu.Lock()
+	inForce := c.position()
+	c.mu.Unlock()
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	replies := 0
 	for _, name := range c.randomPeers(n) {
 		wg.Go(func() {
 			r, err := c.query(ctx, name, &Query{})
-			if err != nil || r.Head.Number == 0 || !c.mayFollow(r.Head.Number) {
+			if err != nil || r.Head.Number == 0 {
+				return
+			}
+			h := peerHead{r.Head, r.Overflow, name}
+			if !c.mayFollow(h.position(), inForce) {
 				return
 			}
 			mu.Lock()
 			defer mu.Unlock()
 			replies++
-			if h := (peerHead{r.Head, r.Overflow, name}); h.position().after(best.position()) {
+			if h.position().after(best.position()) {
 				best = h
 			}
 		})
@@ -168,7 +175,7 @@
 	if err := f.fetch(ctx, c.missingParts(m), true); err != nil {
 		return false
 	}
-	return c.install(h.Head, h.overflow, manifestData, m, f.fetched)
+	return c.installFollowed(h, manifestData, m, f.fetched)
 }
 
 // missingParts returns the parts of a manifest that this node does not have.
--- a/internal/configurer/number.go
+++ b/internal/configurer/number.go
@@ -72,13 +72,16 @@
 	return p.number > q.number || p.number == q.number && p.overflow > q.overflow
 }
 
-// String describes the position of a source's declaration in events.
-func (p position) String() string {
+// decode decodes the position of a source's declaration.
+func (p position) decode() sourceNumber {
 	n := decodeSourceNumber(p.number)
 	n.revision += p.overflow
-	return n.String()
+	return n
 }
 
+// String describes the position of a source's declaration in events.
+func (p position) String() string { return p.decode().String() }
+
 // decodeSourceNumber decodes a number without its overflow. The era is the lower part of the one that
 // was encoded.
 func decodeSourceNumber(number uint64) sourceNumber {
@@ -88,6 +91,21 @@
 	}
 }
 
+// position returns the position of the number.
+func (n sourceNumber) position() position { return position{n.encode(), n.overflow()} }
+
+// readLater reports whether n and m are of the same version and era and the source
+// was at n after it was at m, whatever their readers knew before.
+func (n sourceNumber) readLater(m sourceNumber) bool {
+	if n.version != m.version || n.era != m.era {
+		return false
+	}
+	if n.stored != m.stored {
+		return n.stored
+	}
+	return n.revision > m.revision
+}
+
 // sameEra reports whether n is of an era.
 func (n sourceNumber) sameEra(era uint64) bool { return n.era == era%(1<<eraBits) }
 
--- a/internal/configurer/sourcereader.go
+++ b/internal/configurer/sourcereader.go
@@ -64,14 +64,15 @@
 	return o, err
 }
 
-// awaitsSettling reports whether orders from before a restoration are kept, or what
-// is in force may not be followed by nodes that knew more before.
+// awaitsSettling reports whether orders from before a restoration are kept, here or
+// in what is in force, or what is in force may not be followed by nodes that knew
+// more before.
 func (r *sourceReader) awaitsSettling() bool {
 	if r.last == nil || r.confirmed {
 		return false
 	}
 	inForce := decodeSourceNumber(r.c.Number())
-	return len(r.kept) > 0 || inForce.sameEra(r.last.Era) && inForce.trust == trustUnknown
+	return len(r.kept) > 0 || inForce.sameEra(r.last.Era) && inForce.trust != trustSettled
 }
 
 // install puts what the node has observed in force, unless a later declaration is.
@@ -79,6 +80,8 @@
 	if o.Version > maxSourceVersion {
 		return coder.New(coder.BadDeclaration, "version %d of the declaration is above %d", o.Version, uint64(maxSourceVersion))
 	}
+	r.c.installing.Lock()
+	defer r.c.installing.Unlock()
 	inForce := decodeSourceNumber(r.c.Number())
 	r.note(o, inForce)
 	if o.Version == 0 && r.c.Index() == nil {
@@ -95,8 +98,8 @@
 		d.Fleet = r.c.Index().Fleet()
 		d.Fleet.Centres = o.Fleet.Centres
 	}
-	d.Fleet.Centres = r.keepOrders(d.Fleet.Centres)
-	d.Number, d.Overflow = n.encode(), n.overflow()
+	d.Fleet.Centres = keepOrders(d.Fleet.Centres, r.kept)
+	d.Position = n.position()
 	return r.c.installDeclared(d)
 }
 
@@ -114,12 +117,7 @@
 	case !r.merges && r.c.Index() != nil && (!inForce.sameEra(o.Era) || inForce.trust == trustMerged):
 		// What is in force is from before the restoration, or was merged with it
 		// by another node.
-		r.merges, r.kept = true, map[string]bool{}
-		for _, centre := range r.c.Index().Fleet().Centres {
-			if centre.Out {
-				r.kept[centre.Name] = true
-			}
-		}
+		r.merges, r.kept = true, evacuatedCentres(r.c.Index().Fleet().Centres)
 	}
 }
 
@@ -149,11 +147,22 @@
 	return slices.ContainsFunc(centres, func(c declarer.Centre) bool { return c.Name == name && c.Out })
 }
 
+// evacuatedCentres returns the names of the data centres that are to be emptied.
+func evacuatedCentres(centres []declarer.Centre) map[string]bool {
+	out := map[string]bool{}
+	for _, centre := range centres {
+		if centre.Out {
+			out[centre.Name] = true
+		}
+	}
+	return out
+}
+
 // keepOrders returns data centres of which the kept ones are to be emptied too.
-func (r *sourceReader) keepOrders(centres []declarer.Centre) []declarer.Centre {
+func keepOrders(centres []declarer.Centre, kept map[string]bool) []declarer.Centre {
 	out := slices.Clone(centres)
 	for i := range out {
-		out[i].Out = out[i].Out || r.kept[out[i].Name]
+		out[i].Out = out[i].Out || kept[out[i].Name]
 	}
 	return out
 }
