exithandler: a run call's failure is not passed on as a promise

Callers saw: a booking that its target made and then failed with a 503 was passed on with that status, which callers of the platform take for "not run".

Cause: only a target's statement that it did not run a call was looked at, not what the status says to the caller.

Now a dialect names the statuses that are a promise (408, 421, 429 and 503 on the platform, none on the fleet's own interface). Such a response without the target's statement, to a call that may run once at most, is answered with 502 by the new code 311.

--- a/internal/exithandler/dialect.go
+++ b/internal/exithandler/dialect.go
@@ -44,6 +44,10 @@
 	// NotRun reports whether a target's response says that the request did not
 	// run.
 	NotRun func(status int, h http.Header) bool
+	// PromisesNotRun reports whether callers take a status by itself for a promise
+	// that the request did not run and never will. Nil means that they take none
+	// for that.
+	PromisesNotRun func(status int) bool
 	// Status returns the HTTP status of a refusal.
 	Status func(result coder.Result) int
 	// RetryAfter returns the value of the Retry-After header field.
@@ -73,3 +77,7 @@
 func (d *Dialect) reservedHeaders() []string {
 	return []string{d.RequestIDHeader, d.TimeoutHeader, d.WorkspaceHeader, d.InstanceHeader, d.OriginHeader}
 }
+
+func (d *Dialect) promisesNotRun(status int) bool {
+	return d.PromisesNotRun != nil && d.PromisesNotRun(status)
+}
--- a/internal/exithandler/exithandler.go
+++ b/internal/exithandler/exithandler.go
@@ -255,7 +255,7 @@
 		}
 	}
 	h.Tracer.Add(e)
-	if err == nil && h.Completed != nil {
+	if answered := err == nil || coder.Of(err).Code == coder.MisleadingStatus; answered && h.Completed != nil {
 		h.Completed(j.Call)
 	}
 	if h.Ended != nil {
--- a/internal/exithandler/sender.go
+++ b/internal/exithandler/sender.go
@@ -277,6 +277,10 @@
 		s.refused.add(j.Call.Request)
 		return coder.New(coder.Shed, "%s", j.Target.Name).WithAfter(parseRetryAfter(res.Header))
 	}
+	if j.Call.Once && s.Dialect.promisesNotRun(res.StatusCode) {
+		j.Outcome.Result = Failed
+		return coder.New(coder.MisleadingStatus, "%s: status %d, which does not say that the request did not run", j.Target.Name, res.StatusCode)
+	}
 	if !s.Dialect.CloseDelimited && !isDelimited(j.Call.Method, res) {
 		return s.classifyInterrupted(ctx, j, errors.New("response has neither a length nor chunked encoding"))
 	}
