softlimiter: what nodes may grant at one moment adds up to the rate

Cause, as the fault model shows: the granting node went on with the whole rate for its own side until its members were held dead, four to seven seconds later, while the next node granted three quarters besides as soon as the first one was suspected. In `roll` the bucket of the next node, left from the first stop, was filled by the clock while the first node granted; a node that is not asked did not notice that the first one had come back in between.

Now a node grants the part of the members that it reaches, which it checks while tokens are scarce, and one that grants in place of another waits until no member reaches any node before it and takes the part of those that answer it. A bucket starts anew once a node before it has run since its last use. Weighed and not taken: a lease of the members for each workspace (messages between all pairs), the parts by the member list (it learns of a cut one node at a time).

--- a/internal/node/limits.go
+++ b/internal/node/limits.go
@@ -52,7 +52,7 @@
 
 func newSoftLimiter(s settingsloader.Settings, p Platform, cfg *configurer.Configurer, pr *prober.Prober) *softlimiter.Limiter {
 	return &softlimiter.Limiter{
-		Self: s.Name, Started: time.Now(), Alive: pr.Alive, Joined: pr.Joined, MaxInitialTokens: func() float64 { return p.settings(s).Excess / 2 },
+		Self: s.Name, Started: time.Now(), Alive: pr.Alive, AliveByCentre: pr.AliveByCentre, Joined: pr.Joined, MaxInitialTokens: func() float64 { return p.settings(s).Excess / 2 },
 		Limit: func(name string) (float64, int, bool) { return workspaceLimits(cfg, name) },
 		Suspect: func(name string) bool {
 			m, ok := pr.Member(name)
--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -92,6 +92,9 @@
 	c.Prober.OnChange = func(m prober.Member) {
 		c.Tracer.Add(tracer.Event{Kind: "node-" + m.State.String(), Detail: m.Name})
 		c.Gossiper.MemberChanged(m.Name)
+		if c.Settings.PrefersAvailability() {
+			c.SoftLimiter.NoteMembers()
+		}
 	}
 	c.Prober.Confirm = func(ctx context.Context) (prober.Numbers, error) {
 		return readStoreNumbers(ctx, c)
--- a/internal/softlimiter/softlimiter.go
+++ b/internal/softlimiter/softlimiter.go
@@ -3,10 +3,10 @@
 // workspace grants all its tokens, from memory.
 //
 // It is for fleets whose operators allow a bounded excess. During a network
-// partition each side grants the fraction of the rate that matches its fraction
-// of the membership. A node that takes over granting starts with at most
-// MaxInitialTokens tokens instead of a full burst. Package limiter is for fleets
-// that allow no excess.
+// partition each side grants the fraction of the rate that matches the members
+// that its granting node reaches, which that checks while tokens are scarce. A
+// node that takes over granting starts with at most MaxInitialTokens tokens
+// instead of a full burst. Package limiter is for fleets that allow no excess.
 package softlimiter
 
 import (
@@ -30,12 +30,13 @@
 	maxNodesQueried   = 2
 	maxQueriesPerNode = 2
 	// fallbackFraction is the fraction of the rate that a node grants in place of
-	// another that may still be granting, and suspectFraction the same if no member
-	// reaches that one, so that it grants at most to itself. fallbackKeySuffix
-	// separates that bucket from the node's own.
-	fallbackFraction  = 0.1
-	suspectFraction   = 0.75
-	fallbackKeySuffix = "\ninstead"
+	// another that other members reach. fallbackKeySuffix separates that bucket,
+	// and the one for a node that no member reaches, from the node's own. It holds
+	// one token after fallbackIdleTimeout without a query, since the other node has
+	// granted meanwhile.
+	fallbackFraction    = 0.1
+	fallbackKeySuffix   = "\ninstead"
+	fallbackIdleTimeout = time.Second
 	// lastResortKeySuffix separates the bucket for the last resort, and
 	// lastResortDivisor divides the part of the rate, by the number of nodes,
 	// that a node grants to itself if it reaches no granting node.
@@ -90,8 +91,11 @@
 	// another slice when they change.
 	Alive func() []string
 	// ReachableFraction returns the fraction of the membership that this node
-	// reaches, 0 to 1.
+	// knows to be running, 0 to 1.
 	ReachableFraction func() float64
+	// AliveByCentre returns the nodes of Alive by their data centre. Nil means that
+	// all are in one.
+	AliveByCentre func() map[string][]string
 	// Suspect reports whether no member reaches a running node. Nil means that
 	// this is never known.
 	Suspect func(node string) bool
@@ -119,9 +123,14 @@
 	members          []string
 	membersDigest    uint64
 	membersChangedAt time.Time
+	// lastAlive maps nodes that no longer run to when they were last seen running,
+	// for bucketIdleTimeout.
+	lastAlive map[string]time.Time
 	// avoidedUntil maps nodes that did not answer to the time until which they
 	// are not queried.
 	avoidedUntil map[string]time.Time
+
+	contacts contacts
 }
 
 type shard struct {
@@ -204,6 +213,7 @@
 	for range maxQueriesPerNode {
 		reply, err := l.SendQuery(ctx, node, q)
 		if err == nil {
+			l.contacts.note(node, time.Now())
 			return reply
 		}
 		if ctx.Err() != nil {
@@ -214,8 +224,13 @@
 }
 
 // Handle answers a query of another node.
-func (l *Limiter) Handle(_ context.Context, _ string, q *Query) (*Reply, error) {
-	return l.grant(q, time.Now()), nil
+func (l *Limiter) Handle(_ context.Context, from string, q *Query) (*Reply, error) {
+	now := time.Now()
+	l.contacts.note(from, now)
+	if q.Workspace == "" {
+		return &Reply{}, nil // only checks that this node is reached
+	}
+	return l.grant(q, now), nil
 }
 
 // grantingNode returns the running node with the highest rank for the workspace,
@@ -275,38 +290,62 @@
 	l.avoidedUntil[node] = now.Add(avoidDuration)
 }
 
-// grant takes a token from this node's own bucket. As a fallback for another
-// node it grants only a fraction, since that node may still be granting.
+// grant takes a token from this node's own bucket if it is the first running node
+// for the workspace. In place of the first one, which may still be granting, it
+// grants the part of the members that it reaches if no member reaches any node
+// before it, and a small fraction otherwise.
 func (l *Limiter) grant(q *Query, now time.Time) *Reply {
-	switch {
-	case !q.Fallback:
-		return l.grantFrom(q.Workspace, "", 1, now)
-	case l.Suspect != nil && l.Suspect(firstRanked(l.Alive(), q.Workspace)):
-		return l.grantFrom(q.Workspace, fallbackKeySuffix, suspectFraction, now)
+	own, part, suffix := rankOf(l.Self, q.Workspace), l.contactFraction(now), ""
+	for _, name := range l.Alive() {
+		if name == l.Self || rankOf(name, q.Workspace) <= own {
+			continue
+		}
+		suffix, part = fallbackKeySuffix, max(l.answeredFraction(now), fallbackFraction)
+		if l.Suspect == nil || !l.Suspect(name) {
+			part = fallbackFraction
+			break
+		}
 	}
-	return l.grantFrom(q.Workspace, fallbackKeySuffix, fallbackFraction, now)
+	return l.grantFrom(q.Workspace, suffix, part, now)
 }
 
 // grantFrom takes a token from the bucket of a workspace with the suffix, which
-// has a fraction of the rate and burst.
+// has a part of the rate and burst, if that part of the members is running.
 func (l *Limiter) grantFrom(workspace, suffix string, part float64, now time.Time) *Reply {
 	rate, burst, ok := l.Limit(workspace)
 	if !ok {
 		return &Reply{RetryAfter: time.Second}
 	}
-	fraction, maxInitial, key := l.ReachableFraction()*part, l.MaxInitialTokens(), workspace+suffix
+	fraction, maxInitial, key := min(l.ReachableFraction(), part), l.MaxInitialTokens(), workspace+suffix
 	if suffix != "" {
 		maxInitial = 1
 	}
-	s := &l.shards[xxhash.Sum64String(key)%shardCount]
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	initial := min(maxInitial, float64(burst)*fraction)
 	if l.membershipChanging(now) {
 		initial -= rate * fraction * maxGrantOverlap.Seconds()
 	}
+	if suffix == fallbackKeySuffix {
+		initial = 1
+	}
+	var outrankedUntil time.Time
+	if suffix == "" {
+		outrankedUntil = l.outrankedUntil(workspace)
+	}
+	s := &l.shards[xxhash.Sum64String(key)%shardCount]
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	b := s.bucket(key, initial, now)
-	b.refill(now, rate*fraction, max(float64(burst)*fraction, 1))
+	if b.updatedAt.Before(outrankedUntil) || now.Sub(b.updatedAt) > bucketIdleTimeout {
+		*b = bucket{tokens: min(b.tokens, initial), updatedAt: now}
+	}
+	limit := max(float64(burst)*fraction, 1)
+	if suffix == fallbackKeySuffix && now.Sub(b.updatedAt) > fallbackIdleTimeout {
+		limit = 1
+	}
+	b.refill(now, rate*fraction, limit)
+	if b.tokens < scarceFraction*float64(burst)*fraction {
+		l.checkContacts(now)
+	}
 	if b.tokens >= 1 {
 		b.tokens--
 		return &Reply{Granted: true}
@@ -314,6 +353,25 @@
 	return &Reply{RetryAfter: b.scheduleRetry(rate * fraction)}
 }
 
+// outrankedUntil returns when a running node last ranked before this one for a
+// workspace, or the zero time. Until then that node has granted, so that tokens
+// which a bucket of this node has gained meanwhile were granted already.
+func (l *Limiter) outrankedUntil(workspace string) (last time.Time) {
+	own := rankOf(l.Self, workspace)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for name, at := range l.lastAlive {
+		if at.After(last) && rankOf(name, workspace) > own {
+			last = at
+		}
+	}
+	return last
+}
+
+// NoteMembers notes which nodes run. It is called after each change, so that none
+// between two queries is missed.
+func (l *Limiter) NoteMembers() { l.membershipChanging(time.Now()) }
+
 // membershipChanging reports whether the running nodes changed recently. The
 // previous granting node may then still grant to nodes that do not know of the
 // change.
@@ -324,6 +382,7 @@
 	if len(names) > 0 && len(names) == len(l.members) && &names[0] == &l.members[0] {
 		return now.Sub(l.membersChangedAt) < membershipSettleTime
 	}
+	l.noteStopped(l.members, names, now)
 	l.members = names
 	digest := uint64(0)
 	for _, name := range names {
@@ -338,6 +397,24 @@
 	return now.Sub(l.membersChangedAt) < membershipSettleTime
 }
 
+// noteStopped records when nodes that no longer run were last seen running. The
+// caller holds the lock.
+func (l *Limiter) noteStopped(before, names []string, now time.Time) {
+	if l.lastAlive == nil {
+		l.lastAlive = map[string]time.Time{}
+	}
+	for name, at := range l.lastAlive {
+		if now.Sub(at) > bucketIdleTimeout {
+			delete(l.lastAlive, name)
+		}
+	}
+	for _, name := range before {
+		if name != l.Self && !slices.Contains(names, name) {
+			l.lastAlive[name] = now
+		}
+	}
+}
+
 func (s *shard) bucket(key string, initial float64, now time.Time) *bucket {
 	if b := s.buckets[key]; b != nil {
 		return b
--- a/internal/softlimiter/softlimiter_test.go
+++ b/internal/softlimiter/softlimiter_test.go
@@ -31,6 +31,8 @@
 // other's state with a delay.
 type cluster struct {
 	rand *rand.Rand
+	// burst is that of the workspace.
+	burst int
 	// mu guards the fields below.
 	mu      sync.Mutex
 	nodes   []*Limiter
@@ -38,15 +40,17 @@
 	// isolated marks the nodes of one side of a partition.
 	isolated []bool
 	// sees[i][j] reports whether node i believes node j to be alive.
-	sees    [testNodes][testNodes]bool
-	granted []time.Time
-	refused int
+	sees [testNodes][testNodes]bool
+	// suspects[i][j] reports whether node i believes that no member reaches node j.
+	suspects [testNodes][testNodes]bool
+	granted  []time.Time
+	refused  int
 }
 
 func nodeName(i int) string { return fmt.Sprintf("n%d", i) }
 
 func newCluster(seed uint64) *cluster {
-	c := &cluster{rand: rand.New(rand.NewPCG(seed, 1)), running: make([]bool, testNodes), isolated: make([]bool, testNodes)}
+	c := &cluster{burst: testBurst, rand: rand.New(rand.NewPCG(seed, 1)), running: make([]bool, testNodes), isolated: make([]bool, testNodes)}
 	for i := range testNodes {
 		c.running[i] = true
 		for j := range testNodes {
@@ -83,7 +87,7 @@
 			}
 			return float64(n) / testNodes
 		},
-		Limit:            func(string) (float64, int, bool) { return testRate, testBurst, true },
+		Limit:            func(string) (float64, int, bool) { return testRate, c.burst, true },
 		MaxInitialTokens: func() float64 { return testExtraRequests / 2 },
 		SendQuery: func(ctx context.Context, node string, q *Query) (*Reply, error) {
 			for j := range testNodes {
@@ -94,7 +98,7 @@
 					<-ctx.Done()
 					return nil, ctx.Err()
 				}
-				return c.nodeAt(j).Handle(ctx, "", q)
+				return c.nodeAt(j).Handle(ctx, nodeName(i), q)
 			}
 			return nil, errors.New("no such node")
 		},
