configurer: a reader whose source fails hands its turn on

Cause: readers are chosen by their names, whether they can read or not, and a node that is not chosen asks nothing of the store.

Now a reader whose source fails asks a random node to read in its place for six seconds, and again with each failure of its own. A node whose source fails takes no turn, and a reader asks others at most every three seconds, so that the calls to a store that is down for all at most double. A store that gives no response is found out when a watch's time and a second are over. The watchers of stamps hand on already; the other duties that a hash assigns need no store.

TestChangesReachAFleetWhoseReadersAreRejected failed before; it rejects a third of 96 and of 355 nodes, the readers among them, at once and with silence.

--- a/internal/configurer/configurer.go
+++ b/internal/configurer/configurer.go
@@ -120,6 +120,7 @@
 	restoring bool
 	wake      chan struct{}
 	started   time.Time
+	turn      turn
 }
 
 func (c *Configurer) init() {
@@ -127,6 +128,7 @@
 		c.parts = map[Hash]cachedBlob{}
 		c.manifest = &manifest{}
 		c.wake = make(chan struct{}, 1)
+		c.turn.wake = make(chan struct{}, 1)
 		c.started = time.Now()
 	}
 }
@@ -237,7 +239,8 @@
 func (c *Configurer) Handle(_ context.Context, _ string, q *Query) (*Reply, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	r := &Reply{Head: c.head, Overflow: c.overflow}
+	c.init()
+	r := &Reply{Head: c.head, Overflow: c.overflow, Reads: q.Read && c.takeTurn()}
 	size := 0
 	for _, h := range q.Parts {
 		b := c.parts[h].data
--- a/internal/configurer/message.go
+++ b/internal/configurer/message.go
@@ -7,6 +7,9 @@
 	// Parts are the hashes of the wanted manifests and parts. If empty, the reply
 	// has only the head.
 	Parts []Hash
+	// Read asks the node to read from the source in place of this one, whose source
+	// fails.
+	Read bool
 }
 
 // Reply answers a Query.
@@ -20,4 +23,6 @@
 	// Parts are the encoded parts that the node has, as many as fit
 	// maxReplyBytes. The receiver matches them by hash.
 	Parts [][]byte
+	// Reads answers Query.Read: the node reads from the source, as far as it knows.
+	Reads bool
 }
--- a/internal/configurer/source.go
+++ b/internal/configurer/source.go
@@ -41,7 +41,8 @@
 }
 
 // followSource installs what the source declares until ctx ends. Nodes that do
-// not read from the source, or whose source fails, get changes from their peers.
+// not read from the source, or whose source fails, get changes from their peers. A
+// reader whose source fails asks another node to read in its place.
 func (c *Configurer) followSource(ctx context.Context) {
 	failing, delay := false, minSourceRetryDelay
 	r := &sourceReader{c: c}
@@ -53,6 +54,7 @@
 		if err == nil && o != nil {
 			err = r.install(o)
 		}
+		c.noteSource(ctx, err)
 		if (err != nil) != failing && ctx.Err() == nil {
 			failing = err != nil
 			c.Tracer.Add(sourceEvent(c.Number(), err))
@@ -83,11 +85,12 @@
 	if c.SourceReader == nil {
 		return true
 	}
-	if c.SourceReader() && time.Since(c.started) > readerCheckInterval {
+	if (c.SourceReader() || c.hasTurn()) && time.Since(c.started) > readerCheckInterval {
 		return true
 	}
 	select {
 	case <-ctx.Done():
+	case <-c.turn.wake:
 	case <-time.After(readerCheckInterval/2 + rand.N(readerCheckInterval)):
 	}
 	return false
--- a/internal/configurer/source_test.go
+++ b/internal/configurer/source_test.go
@@ -157,67 +157,164 @@
 	})
 }
 
+// readersFleet is a fleet of which the first few nodes read the source.
+type readersFleet struct {
+	source *fakeSource
+	names  []string
+	nodes  map[string]*Configurer
+	// calls counts the calls of each node to the source.
+	calls map[string]*atomic.Int64
+}
+
+const readers = 32
+
+// startReadersFleet starts n nodes. With silent set the source does not answer the
+// nodes that it rejects: a watch fails when its time and a second are over, and the
+// calls after it fail after a second.
+func startReadersFleet(ctx context.Context, n int, silent bool) *readersFleet {
+	f := &readersFleet{source: &fakeSource{rejected: map[string]bool{}}, nodes: map[string]*Configurer{}, calls: map[string]*atomic.Int64{}}
+	for i := range n {
+		f.names = append(f.names, fmt.Sprintf("n-%03d", i))
+	}
+	for i, name := range f.names {
+		read, calls, failing := f.source.source(name), &atomic.Int64{}, false
+		f.calls[name] = calls
+		f.nodes[name] = &Configurer{
+			DeclarationSource: func(ctx context.Context) (*Observation, error) {
+				calls.Add(1)
+				o, err := read(ctx)
+				if err != nil && silent {
+					if !failing {
+						time.Sleep(rand.N(13 * time.Second))
+					}
+					time.Sleep(time.Second)
+				}
+				failing = err != nil
+				return o, err
+			},
+			SourceReader: func() bool { return i < readers },
+			Peers: func() []string {
+				return slices.DeleteFunc(slices.Clone(f.names), func(n string) bool { return n == name })
+			},
+			SendQuery: func(ctx context.Context, node string, q *Query) (*Reply, error) {
+				time.Sleep(time.Millisecond)
+				return f.nodes[node].Handle(ctx, name, q)
+			},
+			AnnounceNumber: func(number uint64) {
+				for range 4 {
+					go f.nodes[f.names[rand.IntN(n)]].NoteNumber(number)
+				}
+			},
+		}
+	}
+	for _, node := range f.nodes {
+		go func() { _ = node.Run(ctx) }()
+		go func() { // heartbeats carry the number too
+			for ctx.Err() == nil {
+				time.Sleep(time.Second)
+				node.NoteNumber(f.nodes[f.names[rand.IntN(n)]].Number())
+			}
+		}()
+	}
+	return f
+}
+
+// reject makes the source reject the nodes that match.
+func (f *readersFleet) reject(match func(i int) bool) {
+	f.source.mu.Lock()
+	defer f.source.mu.Unlock()
+	for i, name := range f.names {
+		f.source.rejected[name] = match(i)
+	}
+}
+
+// takeCalls returns the calls of the readers and of the other nodes since the last
+// time.
+func (f *readersFleet) takeCalls() (byReaders, byOthers int64) {
+	for i, name := range f.names {
+		if n := f.calls[name].Swap(0); i < readers {
+			byReaders += n
+		} else {
+			byOthers += n
+		}
+	}
+	return byReaders, byOthers
+}
+
+func (f *readersFleet) checkVersion(t *testing.T, version uint64) {
+	t.Helper()
+	for _, name := range f.names {
+		qt.Check(t, versionInForce(f.nodes[name]), qt.Equals, version, qt.Commentf(name))
+	}
+}
+
+func runReadersFleet(t *testing.T, n int, silent bool, test func(f *readersFleet)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer func() {
+			cancel()
+			time.Sleep(time.Minute)
+		}()
+		test(startReadersFleet(ctx, n, silent))
+	})
+}
+
 // TestFewNodesReadSource runs a fleet of which a few nodes read the source, while
 // that rejects a third of all nodes. A change must be in force everywhere within
 // three seconds, and the calls must not grow with the fleet.
 func TestFewNodesReadSource(t *testing.T) {
 	for _, n := range []int{75, 355} {
-		synctest.Test(t, func(t *testing.T) {
-			ctx, cancel := context.WithCancel(t.Context())
-			defer func() {
-				cancel()
-				time.Sleep(time.Minute)
-			}()
-			const readers = 32
-			source := &fakeSource{rejected: map[string]bool{}}
-			var names []string
-			for i := range n {
-				names = append(names, fmt.Sprintf("n-%03d", i))
-				source.rejected[names[i]] = i%3 == 0
-			}
-			nodes := map[string]*Configurer{}
-			var calls atomic.Int64
-			for i, name := range names {
-				read := source.source(name)
-				nodes[name] = &Configurer{
-					DeclarationSource: func(ctx context.Context) (*Observation, error) {
-						calls.Add(1)
-						return read(ctx)
-					},
-					SourceReader: func() bool { return i < readers },
-					Peers: func() []string {
-						return slices.DeleteFunc(slices.Clone(names), func(n string) bool { return n == name })
-					},
-					SendQuery: func(ctx context.Context, node string, q *Query) (*Reply, error) {
-						time.Sleep(time.Millisecond)
-						return nodes[node].Handle(ctx, name, q)
-					},
-					AnnounceNumber: func(number uint64) {
-						for range 4 {
-							go nodes[names[rand.IntN(n)]].NoteNumber(number)
-						}
-					},
-				}
-			}
-			for _, node := range nodes {
-				go func() { _ = node.Run(ctx) }()
-				go func() { // heartbeats carry the number too
-					for ctx.Err() == nil {
-						time.Sleep(time.Second)
-						node.NoteNumber(nodes[names[rand.IntN(n)]].Number())
-					}
-				}()
-			}
-			source.declare(7, "first")
+		runReadersFleet(t, n, false, func(f *readersFleet) {
+			f.reject(func(i int) bool { return i%3 == 0 })
+			f.source.declare(7, "first")
 			time.Sleep(10 * time.Second)
-			calls.Store(0)
-			source.declare(12, "second")
+			f.takeCalls()
+			f.source.declare(12, "second")
 			time.Sleep(3 * time.Second)
-			for _, name := range names {
-				qt.Check(t, versionInForce(nodes[name]), qt.Equals, uint64(12), qt.Commentf(name))
-			}
-			t.Logf("%d nodes: %d calls in three seconds of a change", n, calls.Load())
-			qt.Check(t, calls.Load() <= 3*readers, qt.IsTrue, qt.Commentf("%d calls", calls.Load()))
+			f.checkVersion(t, 12)
+			byReaders, byOthers := f.takeCalls()
+			calls := byReaders + byOthers
+			t.Logf("%d nodes: %d calls in three seconds of a change", n, calls)
+			qt.Check(t, calls <= 3*readers, qt.IsTrue, qt.Commentf("%d calls", calls))
 		})
 	}
 }
+
+// Guards against changes that no node puts in force because the source rejects just
+// the nodes that read it for the others, at once or with silence.
+func TestChangesReachAFleetWhoseReadersAreRejected(t *testing.T) {
+	for _, n := range []int{96, 355} {
+		for silent, bound := range map[bool]time.Duration{false: 3 * time.Second, true: 7 * time.Second} {
+			runReadersFleet(t, n, silent, func(f *readersFleet) {
+				f.source.declare(7, "first")
+				time.Sleep(10 * time.Second)
+				f.reject(func(i int) bool { return i < max(readers, n/3) })
+				time.Sleep(300 * time.Millisecond)
+				f.source.declare(12, "second")
+				time.Sleep(bound)
+				f.checkVersion(t, 12)
+				f.source.declare(13, "third")
+				time.Sleep(bound)
+				f.checkVersion(t, 13)
+			})
+		}
+	}
+}
+
+// Guards against a fleet that all calls a source which is down for all.
+func TestFewNodesCallASourceThatIsDown(t *testing.T) {
+	runReadersFleet(t, 355, false, func(f *readersFleet) {
+		f.source.declare(7, "first")
+		time.Sleep(10 * time.Second)
+		f.takeCalls()
+		f.reject(func(int) bool { return true })
+		time.Sleep(10 * time.Second)
+		byReaders, byOthers := f.takeCalls()
+		t.Logf("%d calls of readers, %d of others in ten seconds", byReaders, byOthers)
+		qt.Check(t, byOthers <= byReaders, qt.IsTrue, qt.Commentf("%d calls of others, %d of readers", byOthers, byReaders))
+		f.source.declare(12, "second")
+		f.reject(func(int) bool { return false })
+		time.Sleep(4 * time.Second)
+		f.checkVersion(t, 12)
+	})
+}
