retrier: calls of repeated runs use the budget of the service they go to

Callers saw: more load on merchant-reports than its repeats may add.

Cause: a target that runs a request once more makes its calls once more. The rule counts these as repeats; the budget counted them as requests, which pay in a fifth of an extra attempt.

Now a call tells whether it repeats an attempt that may have reached a target, the node beside the target knows so of the calls made meanwhile, and each of them takes an extra attempt, up to a bounded debt.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -274,7 +274,7 @@
 	}
 	attempt := a.Detector.Start(j.Target.Name)
 	observeHead(j, attempt, admittedCall)
-	a.running.add(j.Call.Request, admittedCall)
+	a.running.add(j.Call.Request, admittedCall, j.Call.Repeat)
 	return func(o exithandler.Outcome) {
 		a.running.remove(j.Call.Request, admittedCall)
 		class := resultClasses[o.Result]
--- a/internal/admitter/running_test.go
+++ b/internal/admitter/running_test.go
@@ -35,10 +35,11 @@
 		releases[n-1](exithandler.Outcome{Result: exithandler.NotSent})
 		releases = releases[:n-1]
 	}
-	earlier := a.BeginInner("outer")
+	earlier, _ := a.BeginInner("outer")
 	earlier()
 	earlier() // must not count against the next one
-	end := a.BeginInner("outer")
+	end, repeat := a.BeginInner("outer")
+	qt.Check(t, repeat, qt.IsFalse)
 	qt.Assert(t, end, qt.IsNotNil)
 	time.Sleep(5 * time.Second)
 	open = a.Risk("t")
@@ -48,7 +49,8 @@
 	for _, release := range releases {
 		release(exithandler.Outcome{Result: exithandler.NotSent})
 	}
-	qt.Check(t, a.BeginInner("outer"), qt.IsNil)
+	end, _ = a.BeginInner("outer")
+	qt.Check(t, end, qt.IsNil)
 	qt.Check(t, a.running.byRequest, qt.HasLen, 0)
 	return open, ended
 }
@@ -66,3 +68,26 @@
 		})
 	}
 }
+
+// Guards against calls of a repeated run that pass for calls of a first one.
+func TestInnerRequestsOfARepeatAreKnown(t *testing.T) {
+	for _, repeats := range [][]bool{{false}, {true}, {false, true}, {false, false}} {
+		target := messenger.Target{Name: "t", Service: "s", Epoch: 1, Slots: 8}
+		a := &Admitter{
+			ColdLimit: func(string) int { return 8 }, CentreOut: func() bool { return false },
+			Detector: &detector.Detector{}, Breaker: &breaker.Breaker{}, RefreshVerdicts: func() {},
+		}
+		a.ApplyVerdict(target)
+		want := false
+		for _, repeat := range repeats {
+			j := &exithandler.Job{Call: &messenger.Call{Request: "outer", Route: "r", Aim: time.Second, Repeat: repeat}, Target: target, Deadline: time.Now().Add(time.Minute)}
+			release, err := a.Acquire(t.Context(), j)
+			qt.Assert(t, err, qt.IsNil)
+			defer release(exithandler.Outcome{Result: exithandler.NotSent})
+			want = want || repeat
+		}
+		end, repeat := a.BeginInner("outer")
+		qt.Check(t, end, qt.IsNotNil)
+		qt.Check(t, repeat, qt.Equals, want, qt.Commentf("%v", repeats))
+	}
+}
--- a/internal/entryhandler/entryhandler.go
+++ b/internal/entryhandler/entryhandler.go
@@ -55,6 +55,9 @@
 	// Inner tells that the target of this VM sent the request while it runs another
 	// one.
 	Inner bool
+	// Repeat tells that the request which the target runs repeats an attempt that
+	// may have reached a target before.
+	Repeat bool
 	// Dialect defines the HTTP interface to the caller.
 	Dialect *exithandler.Dialect
 	// Workspace is nil on open routes.
@@ -97,7 +100,7 @@
 		Request: x.ExternalID, Service: x.Service, Workspace: x.WorkspaceName(), Weight: 1, Origin: x.Origin, Rank: x.Rank(),
 		Method: x.Request.Method, URI: x.Request.URL.RequestURI(), Host: x.Request.Host,
 		Header: x.Dialect.EndToEndFields(x.Request.Header), Body: x.Body,
-		Once: x.Route.Once, Wait: x.Route.Wait, Inner: x.Inner, Route: x.Route.Name, Aim: time.Duration(x.Route.Aim) * time.Millisecond,
+		Once: x.Route.Once, Wait: x.Route.Wait, Inner: x.Inner, Repeat: x.Repeat, Route: x.Route.Name, Aim: time.Duration(x.Route.Aim) * time.Millisecond,
 	}
 	if x.Workspace != nil {
 		c.Weight = max(x.Workspace.Weight, 1)
@@ -137,7 +140,7 @@
 	// BeginInner records an inner request of a request that runs at the target of
 	// this VM. It returns nil if none with that ID does, else a function to call
 	// when the inner request has ended. BeginInner may be nil.
-	BeginInner func(outer string) (end func())
+	BeginInner func(outer string) (end func(), repeat bool)
 	// Limit counts one request against a workspace's rate and burst, or returns
 	// a refusal.
 	Limit func(ctx context.Context, workspace string) error
@@ -216,10 +219,11 @@
 	if outer == "" {
 		return func() {}
 	}
-	if end = h.BeginInner(outer); end == nil {
+	end, repeat := h.BeginInner(outer)
+	if end == nil {
 		return func() {}
 	}
-	x.Inner = true
+	x.Inner, x.Repeat = true, repeat
 	return end
 }
 
--- a/internal/exithandler/exithandler.go
+++ b/internal/exithandler/exithandler.go
@@ -131,6 +131,9 @@
 	// Completed records a call that its target responded to. Either may be nil.
 	Quarantine func(c *messenger.Call) error
 	Completed  func(c *messenger.Call)
+	// AffordsRepeat reports whether targets of this VM may run a request once more.
+	// Nil means always.
+	AffordsRepeat func() bool
 	// CallCut records a call that broke off after it was sent. It may be nil.
 	CallCut func(t messenger.Target, request messenger.Fingerprint)
 	// Tracer records events; nil drops them.
@@ -139,7 +142,7 @@
 
 // Filters returns the filters of a call in the order in which they run.
 func (h *Handler) Filters() []Filter {
-	return []Filter{h.findTarget, h.refuseIfLeaving, h.refuseDuplicate, h.acquireSlot, h.refuseQuarantined, h.send}
+	return []Filter{h.findTarget, h.refuseIfLeaving, h.refuseDuplicate, h.refuseRepeat, h.acquireSlot, h.refuseQuarantined, h.send}
 }
 
 // Serve runs one call. An error is a refusal; after the head it means that the
@@ -224,6 +227,15 @@
 	return j.CheckLeaving()
 }
 
+// refuseRepeat refuses a call that repeats an earlier attempt if the calls that its
+// target would make for it are beyond the budget for repeats.
+func (h *Handler) refuseRepeat(ctx context.Context, j *Job, next Step) error {
+	if j.Call.Repeat && h.AffordsRepeat != nil && !h.AffordsRepeat() {
+		return coder.New(coder.RepeatDenied, "%s", j.Target.Name)
+	}
+	return next(ctx, j)
+}
+
 // refuseQuarantined refuses a call whose request crashes targets, also if that
 // became known while it waited for its slot.
 func (h *Handler) refuseQuarantined(ctx context.Context, j *Job, next Step) error {
--- a/internal/messenger/call.go
+++ b/internal/messenger/call.go
@@ -73,6 +73,9 @@
 	// Reservation is the ID of the reservation whose slot the call takes, empty if
 	// it has none.
 	Reservation string
+	// Repeat means that an earlier attempt of the request may have reached a
+	// target, or that such an attempt of another request made this one.
+	Repeat bool
 }
 
 // ResponseHead is the head of a response, or a refusal, sent from the exit node
--- a/internal/node/load.go
+++ b/internal/node/load.go
@@ -209,6 +209,7 @@
 	c.Detector.OnVerdict = c.Admitter.HandleVerdict
 	c.Admitter.RefreshVerdicts = c.TargetRegistrar.RefreshVerdicts
 	c.EntryHandler.BeginInner = c.Admitter.BeginInner
+	c.ExitHandler.AffordsRepeat = c.Retrier.AffordsRepeat
 }
 
 // runDetector runs the detector as a controller.
--- a/internal/requestrunner/requestrunner.go
+++ b/internal/requestrunner/requestrunner.go
@@ -53,8 +53,9 @@
 	call := x.Call()
 	holdUntil := r.holdUntil(&call)
 	attempts := &attemptsender.Attempts{}
+	arrivals := &arrivals{}
 	p := retrier.Policy{
-		Service: call.Service, Route: call.Route, NonIdempotent: call.Once, MaxTargets: x.Route.Tries, ExpectedLatency: expectedLatencyPercent * call.Aim / 100, Deadline: x.Deadline, HoldUntil: holdUntil,
+		Service: call.Service, Route: call.Route, Inner: call.Inner, Repeat: call.Repeat, NonIdempotent: call.Once, MaxTargets: x.Route.Tries, ExpectedLatency: expectedLatencyPercent * call.Aim / 100, Deadline: x.Deadline, HoldUntil: holdUntil,
 		ProveNotRun: func(ctx context.Context, try int) bool { return r.confirmNotSeen(ctx, attempts, attemptID(x.ID, try)) },
 	}
 	return retrier.Do(ctx, r.Retrier, p, retrier.AttemptFuncs[*attemptsender.Response]{
@@ -67,7 +68,11 @@
 					return nil, err
 				}
 			}
-			return r.Attempt(ctx, c, attempts)
+			c.Repeat = call.Repeat || arrivals.any()
+			arrivals.begin()
+			response, err := r.Attempt(ctx, c, attempts)
+			arrivals.end(err)
+			return response, err
 		},
 		IsFailure: (*attemptsender.Response).Failed,
 		Discard:   (*attemptsender.Response).Close,
--- a/internal/retrier/budget.go
+++ b/internal/retrier/budget.go
@@ -16,6 +16,14 @@
 	b.tokens = min(b.tokens+ratio, maxTokens)
 }
 
+// charge takes the token of an extra attempt that was not decided here, down to
+// minTokens.
+func (b *budget) charge(minTokens float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.tokens = max(b.tokens-1, min(b.tokens, minTokens))
+}
+
 // withdraw takes the token for one extra attempt. It reports whether there was
 // one.
 func (b *budget) withdraw() bool {
--- a/internal/retrier/policy.go
+++ b/internal/retrier/policy.go
@@ -13,6 +13,11 @@
 	// Service and Route are names. Budgets are kept per service and latencies
 	// per route, since one service may do both short and long work.
 	Service, Route string
+	// Inner marks a request of a target that runs another one.
+	Inner bool
+	// Repeat marks a request that a repeated attempt of another one made. It counts
+	// as an extra attempt, and may run whatever the budget is.
+	Repeat bool
 	// NonIdempotent marks a non-idempotent request. It is retried only after
 	// proof that it did not run, and never hedged.
 	NonIdempotent bool
@@ -69,7 +74,7 @@
 func (p Policy) actionAfter(ctx context.Context, attempt int, err error) retryAction {
 	e := coder.Of(err)
 	switch e.Code {
-	case coder.TargetLeaving, coder.NodeLeaving, coder.WrongTarget, coder.NotSent:
+	case coder.TargetLeaving, coder.NodeLeaving, coder.WrongTarget, coder.NotSent, coder.RepeatDenied:
 		return redirect
 	case coder.Suspect, coder.QueueTimeout, coder.Overloaded:
 		return redirectAfterPause
--- a/internal/retrier/retrier.go
+++ b/internal/retrier/retrier.go
@@ -16,6 +16,13 @@
 const (
 	// DefaultRatio is the budget that each request adds, in extra attempts.
 	DefaultRatio = 0.19
+	// callMemory is how long a target is expected to call a service that it has
+	// called.
+	callMemory = time.Minute
+	// maxDebt bounds the debt of a service's budget, as a multiple of MaxBudget or
+	// NodeBudget: calls of repeated runs are not refused where the budget is used up,
+	// and the requests after them make up for it.
+	maxDebt = 4
 	// DefaultInitialBudget is the initial budget of a service, in extra attempts.
 	DefaultInitialBudget = 10
 	// DefaultMaxBudget bounds the budget of a service, in extra attempts.
@@ -52,6 +59,9 @@
 // serviceState holds the budget of one service and the latencies of its routes.
 type serviceState struct {
 	budget budget
+	// calledAt is when the target of this VM last called the service while it ran a
+	// request, in Unix nanoseconds.
+	calledAt atomic.Int64
 
 	mu             sync.Mutex
 	latencyByRoute map[string]*latencyHistogram
@@ -187,7 +197,14 @@
 		latency: r.service(p.Service).latency(p.Route),
 		results: make(chan result[R], r.MaxAttempts+r.MaxRedirects+1),
 	}
-	x.service.budget.deposit(r.ratio(), r.maxBudget())
+	if p.Inner {
+		x.service.calledAt.Store(time.Now().UnixNano())
+	}
+	if p.Repeat {
+		x.service.budget.charge(-maxDebt * r.maxBudget())
+	} else {
+		x.service.budget.deposit(r.ratio(), r.maxBudget())
+	}
 	return x.run()
 }
 
@@ -209,6 +226,25 @@
 	return r.MaxBudget
 }
 
+// AffordsRepeat reports whether the target of this VM may run a request once more:
+// no service that it calls meanwhile is in debt for the repeats which that makes of
+// its calls.
+func (r *Retrier) AffordsRepeat() bool {
+	since := time.Now().Add(-callMemory).UnixNano()
+	for i := range r.shards {
+		s := &r.shards[i]
+		s.mu.Lock()
+		for _, v := range s.services {
+			if v.calledAt.Load() > since && v.budget.balance() < 0 {
+				s.mu.Unlock()
+				return false
+			}
+		}
+		s.mu.Unlock()
+	}
+	return true
+}
+
 // service returns the state of a service, and creates it if necessary.
 func (r *Retrier) service(name string) *serviceState {
 	s := &r.shards[maphash.String(r.seed, name)%shardCount]
--- a/pkg/coder/code.go
+++ b/pkg/coder/code.go
@@ -79,6 +79,9 @@
 	// MisleadingStatus marks a response with a status that tells the caller that
 	// the request did not run, which the target does not state.
 	MisleadingStatus Code = 311
+	// RepeatDenied marks an attempt that was not run because it repeats an earlier
+	// one, and the calls that its target makes for it are beyond their budget.
+	RepeatDenied Code = 312
 	// Repeated marks a duplicate delivery of the same call.
 	Repeated Code = 400
 	// RepeatRunning marks a duplicate whose first call is still running.
@@ -165,6 +168,7 @@
 	{Suspect, "suspect", http.StatusServiceUnavailable, RanNo, true, "The targets seem to hang just now; the request was not sent."},
 	{Quarantined, "quarantined", http.StatusServiceUnavailable, RanNo, true, "Targets crashed whenever they ran this request; it is kept from the others."},
 	{MisleadingStatus, "misleading-status", http.StatusBadGateway, RanUnknown, false, "The target failed the request with a status by which callers take it for not run."},
+	{RepeatDenied, "repeat-denied", http.StatusServiceUnavailable, RanNo, true, "The request was not repeated: the calls that its target makes for it have no budget for repeats left."},
 	{Repeated, "repeated", http.StatusConflict, RanUnknown, false, "This arrival of the call is a duplicate and was not run; the first may have."},
 	{RepeatRunning, "repeat-running", http.StatusConflict, RanUnknown, true, "The first call with this idempotency key has not ended."},
 	{RepeatUnknown, "repeat-unknown", http.StatusConflict, RanUnknown, false, "The first call with this idempotency key has no known outcome."},
