--- a/internal/softlimiter/softlimiter.go
+++ b/internal/softlimiter/softlimiter.go
@@ -11,8 +11,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
@@ -68,8 +66,10 @@
 type Query struct {
 	_msgpack struct{} `msgpack:",as_array"`
 
+	// Workspace is empty for a query that only checks whether the node is reached.
 	Workspace string
-	// Fallback reports that the node which should grant did not answer.
+	// Fallback reports that the node which should grant did not answer. Nodes of
+	// earlier versions grant only a fraction then; others decide by their own view.
 	Fallback bool
 }
 
@@ -133,22 +133,6 @@
 	contacts contacts
 }
 
-type shard struct {
-	mu      sync.Mutex
-	buckets map[string]*bucket
-}
-
-// bucket holds the tokens of one workspace at the node that grants them.
-type bucket struct {
-	// tokens is the token count at updatedAt, at most the burst. It starts
-	// below zero if another node may still be granting.
-	tokens    float64
-	updatedAt time.Time
-	// pendingRetries is the estimated number of refused requests that were
-	// given a retry-after and have not retried yet.
-	pendingRetries float64
-}
-
 // Take takes one token of a workspace. The error is a *coder.Error.
 func (l *Limiter) Take(ctx context.Context, workspace string) error {
 	rate, _, ok := l.Limit(workspace)
@@ -233,63 +217,6 @@
 	return l.grant(q, now), nil
 }
 
-// grantingNode returns the running node with the highest rank for the workspace,
-// leaving out nodes that recently did not answer. Fallback reports whether the
-// first one was left out.
-func (l *Limiter) grantingNode(workspace string, now time.Time) (node string, fallback bool) {
-	names := l.Alive()
-	first := firstRanked(names, workspace)
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if !l.avoids(first, now) {
-		return first, false
-	}
-	answering := slices.DeleteFunc(slices.Clone(names), func(name string) bool { return l.avoids(name, now) })
-	return firstRanked(answering, workspace), true
-}
-
-// avoids reports whether a node did not answer recently. The caller holds the lock.
-func (l *Limiter) avoids(node string, now time.Time) bool {
-	until, ok := l.avoidedUntil[node]
-	return ok && now.Before(until)
-}
-
-// firstRanked returns the name with the highest rank for the workspace, or "".
-func firstRanked(names []string, workspace string) (first string) {
-	highest := uint64(0)
-	for _, name := range names {
-		if rank := rankOf(name, workspace); first == "" || rank > highest {
-			first, highest = name, rank
-		}
-	}
-	return first
-}
-
-// rankOf orders the nodes for a workspace. It builds no string, since it is called
-// for each running node.
-func rankOf(node, workspace string) uint64 {
-	var d xxhash.Digest
-	d.Reset()
-	_, _ = d.WriteString(node)
-	_, _ = d.WriteString("\n")
-	_, _ = d.WriteString(workspace)
-	return d.Sum64()
-}
-
-func (l *Limiter) avoid(node string, now time.Time) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.avoidedUntil == nil {
-		l.avoidedUntil = map[string]time.Time{}
-	}
-	for name, until := range l.avoidedUntil {
-		if now.After(until) {
-			delete(l.avoidedUntil, name)
-		}
-	}
-	l.avoidedUntil[node] = now.Add(avoidDuration)
-}
-
 // grant takes a token from this node's own bucket if it is the first running node
 // for the workspace. In place of the first one, which may still be granting, it
 // grants the part of the members that it reaches if no member reaches any node
@@ -316,17 +243,8 @@
 	if !ok {
 		return &Reply{RetryAfter: time.Second}
 	}
-	fraction, maxInitial, key := min(l.ReachableFraction(), part), l.MaxInitialTokens(), workspace+suffix
-	if suffix != "" {
-		maxInitial = 1
-	}
-	initial := min(maxInitial, float64(burst)*fraction)
-	if l.membershipChanging(now) {
-		initial -= rate * fraction * maxGrantOverlap.Seconds()
-	}
-	if suffix == fallbackKeySuffix {
-		initial = 1
-	}
+	fraction, key := min(l.ReachableFraction(), part), workspace+suffix
+	initial := l.initialTokens(suffix, rate*fraction, float64(burst)*fraction, now)
 	var outrankedUntil time.Time
 	if suffix == "" {
 		outrankedUntil = l.outrankedUntil(workspace)
@@ -353,96 +271,19 @@
 	return &Reply{RetryAfter: b.scheduleRetry(rate * fraction)}
 }
 
-// outrankedUntil returns when a running node last ranked before this one for a
-// workspace, or the zero time. Until then that node has granted, so that tokens
-// which a bucket of this node has gained meanwhile were granted already.
-func (l *Limiter) outrankedUntil(workspace string) (last time.Time) {
-	own := rankOf(l.Self, workspace)
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for name, at := range l.lastAlive {
-		if at.After(last) && rankOf(name, workspace) > own {
-			last = at
-		}
-	}
-	return last
-}
-
-// NoteMembers notes which nodes run. It is called after each change, so that none
-// between two queries is missed.
-func (l *Limiter) NoteMembers() { l.membershipChanging(time.Now()) }
-
-// membershipChanging reports whether the running nodes changed recently. The
-// previous granting node may then still grant to nodes that do not know of the
-// change.
-func (l *Limiter) membershipChanging(now time.Time) bool {
-	names := l.Alive()
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if len(names) > 0 && len(names) == len(l.members) && &names[0] == &l.members[0] {
-		return now.Sub(l.membersChangedAt) < membershipSettleTime
-	}
-	l.noteStopped(l.members, names, now)
-	l.members = names
-	digest := uint64(0)
-	for _, name := range names {
-		digest += xxhash.Sum64String(name)
-	}
-	if l.membersDigest == 0 {
-		l.membersChangedAt = l.Started
-	} else if digest != l.membersDigest {
-		l.membersChangedAt = now
-	}
-	l.membersDigest = digest
-	return now.Sub(l.membersChangedAt) < membershipSettleTime
-}
-
-// noteStopped records when nodes that no longer run were last seen running. The
-// caller holds the lock.
-func (l *Limiter) noteStopped(before, names []string, now time.Time) {
-	if l.lastAlive == nil {
-		l.lastAlive = map[string]time.Time{}
-	}
-	for name, at := range l.lastAlive {
-		if now.Sub(at) > bucketIdleTimeout {
-			delete(l.lastAlive, name)
-		}
-	}
-	for _, name := range before {
-		if name != l.Self && !slices.Contains(names, name) {
-			l.lastAlive[name] = now
-		}
-	}
-}
-
-func (s *shard) bucket(key string, initial float64, now time.Time) *bucket {
-	if b := s.buckets[key]; b != nil {
-		return b
+// initialTokens returns what a new bucket with a rate and burst starts with.
+func (l *Limiter) initialTokens(suffix string, rate, burst float64, now time.Time) float64 {
+	changing := l.membershipChanging(now)
+	if suffix == fallbackKeySuffix {
+		return 1
 	}
-	if s.buckets == nil {
-		s.buckets = map[string]*bucket{}
+	most := 1.0
+	if suffix == "" {
+		most = l.MaxInitialTokens()
 	}
-	for idle, b := range s.buckets {
-		if now.Sub(b.updatedAt) > bucketIdleTimeout {
-			delete(s.buckets, idle)
-		}
+	initial := min(most, burst)
+	if changing {
+		initial -= rate * maxGrantOverlap.Seconds()
 	}
-	b := &bucket{tokens: initial, updatedAt: now}
-	s.buckets[key] = b
-	return b
-}
-
-func (b *bucket) refill(now time.Time, rate, burst float64) {
-	added := max(now.Sub(b.updatedAt).Seconds(), 0) * rate
-	b.tokens = min(b.tokens+added, burst)
-	b.pendingRetries = max(b.pendingRetries-added, 0)
-	b.updatedAt = now
-}
-
-// scheduleRetry returns the retry-after of a refused request. Each one is
-// queued after those refused before, so that they do not all retry at once.
-func (b *bucket) scheduleRetry(rate float64) time.Duration {
-	b.pendingRetries++
-	seconds := (b.pendingRetries + 1 - b.tokens) / max(rate, 1e-3) * (0.9 + 0.2*rand.Float64())
-	return min(time.Duration(seconds*float64(time.Second)), maxRetryAfter)
+	return initial
 }
