--- a/internal/retrier/repeat_test.go
+++ b/internal/retrier/repeat_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -16,14 +17,14 @@
 // calls that a repeated run makes are repeats.
 func innerRepeats(t *testing.T, r *Retrier, requests, callsPerRun int, failureRate float64) (innerRepeats, innerRequests int) {
 	rnd := newLockedRand()
+	var arrivals, sent atomic.Int64 // attempts may run beside each other
 	callInner := func(ctx context.Context, repeat bool) error {
 		if !repeat {
-			innerRequests++
-			innerRepeats--
+			sent.Add(1)
 		}
 		p := Policy{Service: "inner", Deadline: time.Now().Add(time.Second), Inner: true, Repeat: repeat}
 		_, err := Do(ctx, r, p, AttemptFuncs[int]{Discard: ignore, Try: func(context.Context, int) (int, error) {
-			innerRepeats++
+			arrivals.Add(1)
 			if rnd.next() < failureRate/2 {
 				return 0, coder.New(coder.Cut, "")
 			}
@@ -48,7 +49,7 @@
 			return 0, nil
 		}})
 	}
-	return innerRepeats, innerRequests
+	return int(arrivals.Load() - sent.Load()), int(sent.Load())
 }
 
 // checkInnerRepeats checks that the inner service gets no more repeats than the ratio
