--- a/internal/framer/framer.go
+++ b/internal/framer/framer.go
@@ -12,7 +12,7 @@
 )
 
 // Version is the supported protocol version.
-const Version = 4
+const Version = 5
 
 // MaxPayload is the largest payload of a frame, in bytes.
 const MaxPayload = 4 << 20
--- a/internal/softlimiter/members.go
+++ b/internal/softlimiter/members.go
@@ -8,18 +8,17 @@
 )
 
 // grantingNode returns the running node with the highest rank for the workspace,
-// leaving out nodes that recently did not answer. Fallback reports whether the
-// first one was left out.
-func (l *Limiter) grantingNode(workspace string, now time.Time) (node string, fallback bool) {
+// leaving out nodes that recently did not answer.
+func (l *Limiter) grantingNode(workspace string, now time.Time) string {
 	names := l.Alive()
 	first := firstRanked(names, workspace)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if !l.avoids(first, now) {
-		return first, false
+		return first
 	}
 	answering := slices.DeleteFunc(slices.Clone(names), func(name string) bool { return l.avoids(name, now) })
-	return firstRanked(answering, workspace), true
+	return firstRanked(answering, workspace)
 }
 
 // avoids reports whether a node did not answer recently. The caller holds the lock.
--- a/internal/softlimiter/softlimiter.go
+++ b/internal/softlimiter/softlimiter.go
@@ -68,9 +68,6 @@
 
 	// Workspace is empty for a query that only checks whether the node is reached.
 	Workspace string
-	// Fallback reports that the node which should grant did not answer. Nodes of
-	// earlier versions grant only a fraction then; others decide by their own view.
-	Fallback bool
 }
 
 // Reply answers a Query.
@@ -163,8 +160,7 @@
 func (l *Limiter) query(ctx context.Context, workspace string) *Reply {
 	q := &Query{Workspace: workspace}
 	for range maxNodesQueried {
-		node, fallback := l.grantingNode(workspace, time.Now())
-		q.Fallback = fallback
+		node := l.grantingNode(workspace, time.Now())
 		if node == l.Self || node == "" {
 			break
 		}
@@ -179,7 +175,7 @@
 // grantSelf grants to this node's own requests: as the granting node, or else a
 // part of the rate as small as this node's part of the fleet.
 func (l *Limiter) grantSelf(q *Query, now time.Time) *Reply {
-	if node, _ := l.grantingNode(q.Workspace, now); node == l.Self {
+	if l.grantingNode(q.Workspace, now) == l.Self {
 		return l.grant(q, now)
 	}
 	return l.grantFrom(q.Workspace, lastResortKeySuffix, 1/float64(lastResortDivisor*max(len(l.Alive()), 1)), now)
